gateway: one watch over all keys, its pause grows with the fleet

Change: one watch over all keys; the pause is 17 ms a gateway, at most 0.4 of the time that a change has (settings store.drain-limit-ms and store.configuration-limit-ms), 200 ms for the leader. The leader of a fleet of more than 11 collects loads and tells sums; equal endpoints are chosen with a random cost.

--- a/src/libgateway/chooser.cpp
+++ b/src/libgateway/chooser.cpp
@@ -62,6 +62,11 @@
         hash::number(E.m_record.m_id + std::to_string(Query.m_affinity));
     Score -= AffinityBonusMs * (static_cast<double>(Rank % 1024) / 1024.0);
   }
+  const double Spread =
+      std::min(SpreadMostMs, SpreadPerChooserMs * (Query.m_choosers - 1));
+  const std::uint64_t Drawn =
+      hash::number(E.m_record.m_id + std::to_string(Query.m_spreadSeed));
+  Score += Spread * static_cast<double>(Drawn % 1024) / 1024.0;
   return Score;
 }
 
--- a/src/libgateway/chooser.h
+++ b/src/libgateway/chooser.h
@@ -24,6 +24,9 @@
   std::uint64_t m_affinity = 0; ///< Hash of the shared parts of the prompt.
   std::vector<std::string> m_excluded; ///< Endpoints not to be used again.
   bool m_mayProbe = true; ///< A failure there does no harm beyond time.
+  /// Gateways that choose with loads told some time ago, this one included.
+  unsigned m_choosers = 1;
+  std::uint64_t m_spreadSeed = 0; ///< Differs by request.
 };
 
 /// Why no endpoint was chosen.
@@ -63,6 +66,10 @@
 inline constexpr double PausesPenaltyMs = 500;
 /// First answer byte expected of an endpoint that has not answered yet.
 inline constexpr double TypicalLatencyMs = 60;
+/// Random cost that keeps gateways which see the same loads from choosing the
+/// same endpoint until the next report, as time: for each gateway and at most.
+inline constexpr double SpreadPerChooserMs = 1;
+inline constexpr double SpreadMostMs = 60;
 /// Ranks from here on are low: they leave a part of each engine to the others.
 inline constexpr unsigned FirstLowRank = 2;
 /// Share of an engine's batch that the low ranks may fill:
--- a/src/libgateway/chooser_test.cpp
+++ b/src/libgateway/chooser_test.cpp
@@ -2,6 +2,7 @@
 #include "libgateway/chooser.h"
 
 #include <gtest/gtest.h>
+#include <map>
 
 using namespace primroseworks;
 using namespace primroseworks::gateway;
@@ -169,3 +170,23 @@
   F.m_table.onRecord(R, Start);
   EXPECT_EQ(F.choose(F.query()).m_obstacle, ChoiceObstacle::NoEndpoint);
 }
+
+// Load pattern: 88 gateways that were told the same loads choose at the same
+// moment, before the next report. Guards against all of them choosing one.
+TEST(Chooser, GatewaysWithTheSameViewSpreadOverEqualEndpoints) {
+  constexpr unsigned Gateways = 88;
+  Fleet F;
+  for (const char *Id : {"e1", "e2", "e3", "e4"})
+    F.add(Id, "d1");
+  std::map<std::string, unsigned> Chosen;
+  for (unsigned I = 0; I < Gateways; ++I) {
+    ChoiceQuery Q = F.query();
+    Q.m_affinity = 77;
+    Q.m_choosers = Gateways;
+    Q.m_spreadSeed = I * 1000003ULL;
+    ++Chosen[F.choose(Q).m_endpoint];
+  }
+  EXPECT_EQ(Chosen.size(), 4U);
+  for (const auto &[Id, Count] : Chosen)
+    EXPECT_LE(Count, Gateways / 2) << Id;
+}
--- a/src/libgateway/demand.cpp
+++ b/src/libgateway/demand.cpp
@@ -80,9 +80,10 @@
   m_members[Report.m_sender] = Member{Report, Now};
 }
 
-void FleetDemand::fill(PlacementInput &Input, TimePoint Now) {
+void FleetDemand::fill(PlacementInput &Input, TimePoint Now,
+                       Duration Lifetime) {
   for (auto It = m_members.begin(); It != m_members.end();) {
-    if (Now - It->second.m_at > PeerDemandLifetime) {
+    if (Now - It->second.m_at > Lifetime) {
       It = m_members.erase(It);
       continue;
     }
--- a/src/libgateway/demand.h
+++ b/src/libgateway/demand.h
@@ -13,8 +13,6 @@
 
 /// Time constant of the arrival rates: a shift of demand shows within it.
 inline constexpr Milliseconds ArrivalSmoothing{1500};
-/// A peer's demand counts this long after its last report.
-inline constexpr Milliseconds PeerDemandLifetime{1500};
 
 /// Demand of the callers of this VM.
 class OwnDemand {
@@ -48,8 +46,9 @@
   void onLoaded(const ArtifactName &Adapter, TimePoint Now) {
     m_adapterUse[Adapter] = Now;
   }
-  /// Fills the demand parts of the placement input.
-  void fill(PlacementInput &Input, TimePoint Now);
+  /// Fills the demand parts of the placement input from the reports that are
+  /// not older than Lifetime.
+  void fill(PlacementInput &Input, TimePoint Now, Duration Lifetime);
 
 private:
   struct Member {
--- a/src/libgateway/endpoints.cpp
+++ b/src/libgateway/endpoints.cpp
@@ -18,16 +18,43 @@
   return M && (Adapter.empty() || M->m_adapters.count(Adapter) > 0);
 }
 
+EndpointLoad &EndpointLoad::operator+=(const EndpointLoad &O) {
+  m_requests += O.m_requests;
+  m_kvTokens += O.m_kvTokens;
+  m_unreadTokens += O.m_unreadTokens;
+  return *this;
+}
+
+EndpointLoad EndpointLoad::without(const EndpointLoad &Part) const {
+  EndpointLoad Out;
+  Out.m_requests = m_requests - std::min(m_requests, Part.m_requests);
+  Out.m_kvTokens = m_kvTokens - std::min(m_kvTokens, Part.m_kvTokens);
+  Out.m_unreadTokens =
+      m_unreadTokens - std::min(m_unreadTokens, Part.m_unreadTokens);
+  return Out;
+}
+
 EndpointLoad Endpoint::load() const {
   EndpointLoad Sum = m_own;
-  for (const auto &[Name, Peer] : m_peers) {
-    Sum.m_requests += Peer.m_load.m_requests;
-    Sum.m_kvTokens += Peer.m_load.m_kvTokens;
-    Sum.m_unreadTokens += Peer.m_load.m_unreadTokens;
-  }
+  Sum += m_peerSum;
   return Sum;
 }
 
+void Endpoint::setPeer(const std::string &Peer, EndpointLoad Load,
+                       TimePoint Now) {
+  erasePeer(Peer);
+  m_peers[Peer] = PeerLoad{Load, Now};
+  m_peerSum += Load;
+}
+
+void Endpoint::erasePeer(const std::string &Peer) {
+  const auto It = m_peers.find(Peer);
+  if (It == m_peers.end())
+    return;
+  m_peerSum = m_peerSum.without(It->second.m_load);
+  m_peers.erase(It);
+}
+
 Endpoint *EndpointTable::find(const std::string &Id) {
   auto It = m_endpoints.find(Id);
   return It == m_endpoints.end() ? nullptr : &It->second;
@@ -75,16 +102,19 @@
     onRemoved(Id, StoreWasAway, Now);
 }
 
-void EndpointTable::expire(TimePoint Now) {
+void EndpointTable::expire(TimePoint Now, Duration PeerLifetime) {
   for (auto It = m_endpoints.begin(); It != m_endpoints.end();) {
     Endpoint &E = It->second;
     if (E.m_missingSince && Now - *E.m_missingSince > LapsedEntryGrace) {
       It = m_endpoints.erase(It);
       continue;
     }
-    for (auto Peer = E.m_peers.begin(); Peer != E.m_peers.end();)
-      Peer = Now - Peer->second.m_at > PeerLoadLifetime ? E.m_peers.erase(Peer)
-                                                        : std::next(Peer);
+    std::vector<std::string> Silent;
+    for (const auto &[Name, Peer] : E.m_peers)
+      if (Now - Peer.m_at > PeerLifetime)
+        Silent.push_back(Name);
+    for (const std::string &Name : Silent)
+      E.erasePeer(Name);
     for (auto R = E.m_refused.begin(); R != E.m_refused.end();)
       R = R->second <= Now ? E.m_refused.erase(R) : std::next(R);
     ++It;
@@ -94,12 +124,19 @@
 void EndpointTable::onPeerLoad(const std::string &Peer, const std::string &Id,
                                EndpointLoad Load, TimePoint Now) {
   if (Endpoint *E = find(Id))
-    E->m_peers[Peer] = Endpoint::PeerLoad{Load, Now};
+    E->setPeer(Peer, Load, Now);
 }
 
 void EndpointTable::forgetPeer(const std::string &Peer) {
   for (auto &[Id, E] : m_endpoints)
-    E.m_peers.erase(Peer);
+    E.erasePeer(Peer);
+}
+
+void EndpointTable::forgetPeers() {
+  for (auto &[Id, E] : m_endpoints) {
+    E.m_peers.clear();
+    E.m_peerSum = EndpointLoad();
+  }
 }
 
 void EndpointTable::onHeld(const std::string &Id, std::uint64_t Incarnation,
--- a/src/libgateway/endpoints.h
+++ b/src/libgateway/endpoints.h
@@ -17,6 +17,10 @@
   unsigned m_requests = 0;
   std::uint64_t m_kvTokens = 0;
   std::uint64_t m_unreadTokens = 0; ///< Prompts without a first event yet.
+
+  EndpointLoad &operator+=(const EndpointLoad &O);
+  /// What remains without Part; no count falls below zero.
+  EndpointLoad without(const EndpointLoad &Part) const;
 };
 
 /// Size of a request, as far as an engine's load goes.
@@ -54,6 +58,7 @@
     TimePoint m_at{};
   };
   std::map<std::string, PeerLoad> m_peers; ///< By member name.
+  EndpointLoad m_peerSum;                  ///< Of m_peers.
   double m_failures = 0;   ///< Decaying share of attempts that failed, 0 to 1.
   double m_latencyMs = 0;  ///< Decaying mean until the first answer byte.
   double m_intervalMs = 0; ///< Decaying mean between events of a stream.
@@ -67,6 +72,8 @@
   const HeldModel *held(const std::string &Model) const;
   bool holds(const std::string &Model, const std::string &Adapter) const;
   EndpointLoad load() const; ///< Own and peers'.
+  void setPeer(const std::string &Peer, EndpointLoad Load, TimePoint Now);
+  void erasePeer(const std::string &Peer);
 };
 
 /// Decaying share of failures above which an endpoint gets only probes.
@@ -86,8 +93,6 @@
 inline constexpr double FirstEventBaseMs = 30;
 /// Pause between requests that test an avoided endpoint.
 inline constexpr Milliseconds AvoidedProbeInterval{700};
-/// A peer's load counts this long after its last report.
-inline constexpr Milliseconds PeerLoadLifetime{1500};
 /// A refusal of an artifact keeps requests for it away for this long.
 inline constexpr Milliseconds RefusalLifetime{250};
 /// Entries that lapsed while the store was away return within this time.
@@ -108,13 +113,16 @@
               TimePoint Now);
   void onRecord(const EndpointRecord &Record, TimePoint Now);
   void onRemoved(const std::string &Id, bool StoreWasAway, TimePoint Now);
-  /// Drops endpoints whose entries did not return.
-  void expire(TimePoint Now);
+  /// Drops endpoints whose entries did not return, and loads that were last
+  /// told longer than PeerLifetime ago.
+  void expire(TimePoint Now, Duration PeerLifetime);
 
   void onPeerLoad(const std::string &Peer, const std::string &Id,
                   EndpointLoad Load, TimePoint Now);
   /// Forgets a peer's loads: its next report tells all of them.
   void forgetPeer(const std::string &Peer);
+  /// Forgets the loads of all peers.
+  void forgetPeers();
   /// What the placement leader says an endpoint holds. Ignored for endpoints
   /// that this VM orders: a deposed leader may still announce its plans.
   void onAnnounced(const std::string &Id, std::uint64_t Incarnation,
--- a/src/libgateway/endpoints_test.cpp
+++ b/src/libgateway/endpoints_test.cpp
@@ -1,5 +1,6 @@
 // Tests of the beliefs about endpoints.
 #include "libgateway/endpoints.h"
+#include "libgateway/peerreport.h"
 
 #include <gtest/gtest.h>
 
@@ -33,13 +34,13 @@
   EXPECT_EQ(Table.find("e2"), nullptr);
   Table.onList({}, true, Start + Seconds(10));
   ASSERT_NE(Table.find("e1"), nullptr);
-  Table.expire(Start + Seconds(12));
+  Table.expire(Start + Seconds(12), ReportLifetimeLeast);
   ASSERT_NE(Table.find("e1"), nullptr);
   Table.onRecord(record("e1"), Start + Seconds(12));
-  Table.expire(Start + Seconds(20));
+  Table.expire(Start + Seconds(20), ReportLifetimeLeast);
   ASSERT_NE(Table.find("e1"), nullptr);
   Table.onList({}, true, Start + Seconds(20));
-  Table.expire(Start + Seconds(23));
+  Table.expire(Start + Seconds(23), ReportLifetimeLeast);
   EXPECT_EQ(Table.find("e1"), nullptr);
 }
 
@@ -110,6 +111,25 @@
   Table.onEnded("e1", {100, 60}, true);
   EXPECT_EQ(Table.find("e1")->load().m_requests, 3U);
   EXPECT_EQ(Table.find("e1")->load().m_unreadTokens, 20U);
-  Table.expire(Start + PeerLoadLifetime + Milliseconds(1));
+  Table.expire(Start + ReportLifetimeLeast + Milliseconds(1),
+               ReportLifetimeLeast);
+  EXPECT_EQ(Table.find("e1")->load().m_requests, 0U);
+}
+
+// Guards against a sum of loads that drifts from the parts it is made of.
+TEST(EndpointTable, PeersLoadsAreReplacedAndForgotten) {
+  EndpointTable Table;
+  Table.onRecord(record("e1"), Start);
+  Table.onPeerLoad("vm-2", "e1", {3, 300, 30}, Start);
+  Table.onPeerLoad("vm-2", "e1", {5, 500, 50}, Start);
+  Table.onPeerLoad("vm-3", "e1", {1, 100, 10}, Start + Seconds(1));
+  EXPECT_EQ(Table.find("e1")->load().m_requests, 6U);
+  Table.forgetPeer("vm-3");
+  EXPECT_EQ(Table.find("e1")->load().m_kvTokens, 500U);
+  Table.onPeerLoad("vm-3", "e1", {1, 100, 10}, Start + Seconds(1));
+  Table.expire(Start + ReportLifetimeLeast + Milliseconds(500),
+               ReportLifetimeLeast);
+  EXPECT_EQ(Table.find("e1")->load().m_unreadTokens, 10U);
+  Table.forgetPeers();
   EXPECT_EQ(Table.find("e1")->load().m_requests, 0U);
 }
--- a/src/libgateway/exchange.cpp
+++ b/src/libgateway/exchange.cpp
@@ -94,6 +94,8 @@
   m_query.m_rank = m_route->m_rank;
   m_query.m_affinity = affinityOf(m_facts);
   m_query.m_mayProbe = m_route->mayRunAgain();
+  m_query.m_choosers = m_core.m_members;
+  m_query.m_spreadSeed = m_core.m_random();
   auto Target = m_configuration->m_services.find(m_query.m_service);
   m_engine = Target != m_configuration->m_services.end() &&
              Target->second.m_engine.has_value();
--- a/src/libgateway/gateway.cpp
+++ b/src/libgateway/gateway.cpp
@@ -84,11 +84,7 @@
   co_spawn(
       m_io, [this] { return m_peers.receive(); }, detached);
   co_spawn(
-      m_io, [this] { return followConfiguration(); }, detached);
-  co_spawn(
-      m_io, [this] { return followEndpoints(); }, detached);
-  co_spawn(
-      m_io, [this] { return followGateways(); }, detached);
+      m_io, [this] { return followStore(); }, detached);
   co_spawn(
       m_io, [this] { return holdLease(); }, detached);
   co_spawn(
@@ -164,36 +160,6 @@
   m_core.placeWaiting(clockNow());
 }
 
-asio::awaitable<void> Gateway::followConfiguration() {
-  const std::string Key = m_core.m_dialect.configurationKey();
-  Duration Backoff = StoreBackoffMin;
-  for (;;) {
-    Result<StoreRange> List = co_await m_store.range(Key);
-    onStoreAnswer(List.has_value(), "configuration");
-    if (!List) {
-      co_await sleep(Backoff);
-      Backoff = std::min<Duration>(2 * Backoff, StoreBackoffMax);
-      continue;
-    }
-    Backoff = StoreBackoffMin;
-    for (const StoreItem &Item : List.value().m_items)
-      if (Item.m_key == Key)
-        applyConfiguration(Item);
-    std::uint64_t After = List.value().m_revision;
-    for (;;) {
-      Result<StoreChanges> Changes =
-          co_await m_store.watch(Key, After, WatchWait);
-      onStoreAnswer(Changes.has_value(), "configuration_watch");
-      if (!Changes || Changes.value().m_historyLost)
-        break;
-      for (const StoreChange &C : Changes.value().m_changes)
-        if (C.m_key == Key && C.m_value)
-          applyConfiguration({C.m_key, *C.m_value, C.m_revision});
-      After = Changes.value().m_revision;
-    }
-  }
-}
-
 void Gateway::applyEndpoint(const StoreChange &Change, bool Away) {
   const TimePoint Now = clockNow();
   const std::string Id =
@@ -251,73 +217,134 @@
   m_core.placeWaiting(Now);
 }
 
-asio::awaitable<void> Gateway::followEndpoints() {
-  const std::string Prefix = m_core.m_dialect.endpointPrefix();
+/// Reads all that the gateway follows; the revision to watch from.
+asio::awaitable<Result<std::uint64_t>> Gateway::listStore() {
+  const std::string Key = m_core.m_dialect.configurationKey();
+  Result<StoreRange> List = co_await m_store.range(Key);
+  onStoreAnswer(List.has_value(), "configuration");
+  if (!List)
+    co_return List.error();
+  // The first list is the oldest: a watch from its revision tells again what
+  // the later ones include.
+  const std::uint64_t Revision = List.value().m_revision;
+  for (const StoreItem &Item : List.value().m_items)
+    if (Item.m_key == Key)
+      applyConfiguration(Item);
+  List = co_await m_store.range(m_core.m_dialect.endpointPrefix());
+  onStoreAnswer(List.has_value(), "endpoints");
+  if (!List)
+    co_return List.error();
+  applyEndpoints(List.value());
+  List = co_await m_store.range(GatewayPrefix);
+  onStoreAnswer(List.has_value(), "gateways");
+  if (!List)
+    co_return List.error();
+  m_gatewayKeys.clear();
+  for (const StoreItem &Item : List.value().m_items)
+    m_gatewayKeys[Item.m_key] = Item;
+  applyGateways(List.value().m_revision);
+  co_return Revision;
+}
+
+void Gateway::applyChanges(const StoreChanges &Changes) {
+  const TimePoint Now = clockNow();
+  const bool Away = storeWasAway(Now);
+  const std::string Endpoints = m_core.m_dialect.endpointPrefix();
+  bool EndpointsChanged = false;
+  bool GatewaysChanged = false;
+  for (const StoreChange &C : Changes.m_changes) {
+    if (C.m_key.rfind(Endpoints, 0) == 0) {
+      EndpointsChanged = true;
+      applyEndpoint(C, Away);
+    } else if (C.m_key.rfind(GatewayPrefix, 0) == 0) {
+      GatewaysChanged = true;
+      if (C.m_value)
+        m_gatewayKeys[C.m_key] = {C.m_key, *C.m_value, C.m_revision};
+      else
+        m_gatewayKeys.erase(C.m_key);
+    } else if (C.m_key == m_core.m_dialect.configurationKey() && C.m_value) {
+      applyConfiguration({C.m_key, *C.m_value, C.m_revision});
+    }
+  }
+  m_core.m_endpointsAt = Now;
+  if (GatewaysChanged)
+    applyGateways(Changes.m_revision);
+  if (!EndpointsChanged)
+    return;
+  m_core.placeWaiting(Now);
+  if (m_claim.claimed())
+    wakePlacement();
+}
+
+/// Keeps the configuration, the endpoints and the gateways up to date by one
+/// watch over all keys.
+asio::awaitable<void> Gateway::followStore() {
   Duration Backoff = StoreBackoffMin;
   for (;;) {
-    Result<StoreRange> List = co_await m_store.range(Prefix);
-    onStoreAnswer(List.has_value(), "endpoints");
-    if (!List) {
+    Result<std::uint64_t> Listed = co_await listStore();
+    if (!Listed) {
       co_await sleep(Backoff);
       Backoff = std::min<Duration>(2 * Backoff, StoreBackoffMax);
       continue;
     }
     Backoff = StoreBackoffMin;
-    applyEndpoints(List.value());
-    std::uint64_t After = List.value().m_revision;
+    std::uint64_t After = Listed.value();
     const TimePoint Relist = clockNow() + RelistInterval;
     while (clockNow() < Relist) {
       Result<StoreChanges> Changes =
-          co_await m_store.watch(Prefix, After, WatchWait);
-      onStoreAnswer(Changes.has_value(), "endpoints_watch");
-      if (!Changes || Changes.value().m_historyLost)
+          co_await m_store.watch("", After, WatchWait);
+      onStoreAnswer(Changes.has_value(), "watch");
+      if (!Changes) {
+        // What was missed is in the history, or the next watch says that it is
+        // not.
+        co_await sleep(Backoff);
+        Backoff = std::min<Duration>(2 * Backoff, StoreBackoffMax);
+        continue;
+      }
+      Backoff = StoreBackoffMin;
+      if (Changes.value().m_historyLost)
         break;
-      const bool Away = storeWasAway(clockNow());
-      for (const StoreChange &C : Changes.value().m_changes)
-        applyEndpoint(C, Away);
+      applyChanges(Changes.value());
       After = Changes.value().m_revision;
-      m_core.m_endpointsAt = clockNow();
-      if (Changes.value().m_changes.empty())
-        continue;
-      m_core.placeWaiting(clockNow());
-      if (m_claim.claimed())
-        wakePlacement();
-      co_await sleep(WatchPause);
+      if (!Changes.value().m_changes.empty())
+        co_await sleep(
+            watchPause(m_core.m_members, m_claim.claimed(),
+                       std::min(m_core.m_settings.m_drainLimit,
+                                m_core.m_settings.m_configurationLimit)));
     }
   }
 }
 
 // --- The fleet -------------------------------------------------------------
 
-void Gateway::applyGateways(const StoreRange &List) {
+/// Takes over what the gateways' keys tell at a revision.
+void Gateway::applyGateways(std::uint64_t Revision) {
   std::vector<Member> Members;
-  std::string Leader;
-  bool Listed = false;
-  for (const StoreItem &Item : List.m_items) {
-    if (Item.m_key == LeaderKey)
-      Leader = Item.m_value;
-    if (Item.m_key.rfind(MemberPrefix, 0) != 0)
+  for (const auto &[Key, Item] : m_gatewayKeys) {
+    if (Key.rfind(MemberPrefix, 0) != 0)
       continue;
-    Listed = Listed || Item.m_key == MemberPrefix + m_core.m_settings.m_vm;
     Result<Member> M = decodeMember(Item.m_value);
     if (M)
       Members.push_back(M.value());
     else
       decisionlog::line(LogClass::Belief, "member_unreadable")
-          .text("key", Item.m_key)
+          .text("key", Key)
           .text("error", M.error().m_message);
   }
   // The store may take keys away while their lease goes on.
-  if (!Listed)
+  if (!m_gatewayKeys.count(MemberPrefix + m_core.m_settings.m_vm))
     m_memberWritten = false;
+  const auto Key = m_gatewayKeys.find(LeaderKey);
+  const bool Led = Key != m_gatewayKeys.end();
+  const std::string Leader = Led ? Key->second.m_value : "";
   if (Leader != m_leaderName)
     decisionlog::line(LogClass::Lifecycle, "placement_leader")
         .text("leader", Leader)
         .text("before", m_leaderName)
-        .number("revision", static_cast<std::int64_t>(List.m_revision));
+        .number("revision", static_cast<std::int64_t>(Revision));
   m_leaderName = Leader;
   m_peers.setMembers(std::move(Members));
-  m_peers.setLeader(Leader);
+  m_peers.setLeader(Leader, Led ? Key->second.m_revision : Revision);
   if (Leader != m_core.m_settings.m_vm && m_claim.claimed()) {
     m_claim.onNotLeader();
     m_leader.onClaimLost();
@@ -327,32 +354,6 @@
         m_io, [this] { return claimLeadership(); }, asio::detached);
 }
 
-asio::awaitable<void> Gateway::followGateways() {
-  Duration Backoff = StoreBackoffMin;
-  for (;;) {
-    Result<StoreRange> List = co_await m_store.range(GatewayPrefix);
-    onStoreAnswer(List.has_value(), "gateways");
-    if (!List) {
-      co_await sleep(Backoff);
-      Backoff = std::min<Duration>(2 * Backoff, StoreBackoffMax);
-      continue;
-    }
-    Backoff = StoreBackoffMin;
-    applyGateways(List.value());
-    // The range is small: it is read again after each change.
-    Result<StoreChanges> Changes = co_await m_store.watch(
-        GatewayPrefix, List.value().m_revision, WatchWait);
-    onStoreAnswer(Changes.has_value(), "gateways_watch");
-    while (Changes && !Changes.value().m_historyLost &&
-           Changes.value().m_changes.empty()) {
-      const std::uint64_t After = Changes.value().m_revision;
-      Changes = co_await m_store.watch(GatewayPrefix, After, WatchWait);
-      onStoreAnswer(Changes.has_value(), "gateways_watch");
-    }
-    co_await sleep(WatchPause);
-  }
-}
-
 /// Grants and renews the lease, and writes this gateway's key under it.
 asio::awaitable<void> Gateway::holdLease() {
   const Duration Pause = Duration(m_core.m_settings.m_lease) / RenewalsPerLease;
@@ -427,7 +428,7 @@
       m_peers.sendToLeader(Now);
       return;
     }
-    m_peers.noteOwn(Now);
+    m_peers.noteOwn(m_claim.token(), Now);
     m_leader.step(Now);
   });
 }
@@ -436,16 +437,16 @@
   m_announce.expires_after(WantsPause);
   m_announce.async_wait([this](std::error_code Ec) {
     if (!Ec)
-      m_peers.send(m_claim.claimed(), clockNow());
+      m_peers.send(m_claim.token(), clockNow());
   });
 }
 
 asio::awaitable<void> Gateway::report() {
   for (;;) {
-    co_await sleep(ReportPause);
+    co_await sleep(reportPause(m_core.m_members));
     const TimePoint Now = clockNow();
     m_core.m_demand.update(Now);
-    m_peers.send(m_claim.claimed(), Now);
+    m_peers.send(m_claim.token(), Now);
     if (m_claim.claimed())
       m_leader.step(Now);
   }
@@ -461,7 +462,7 @@
       decisionlog::flush();
     if (Count % 4 != 0)
       continue;
-    m_core.m_endpoints.expire(Now);
+    m_core.m_endpoints.expire(Now, reportLifetime(m_core.m_members));
     m_core.m_pool.expire(Now);
     m_storePool.expire(Now);
     m_core.m_metrics->gauge("waiting",
--- a/src/libgateway/gateway.h
+++ b/src/libgateway/gateway.h
@@ -8,6 +8,7 @@
 #include "libgateway/peers.h"
 #include "libgateway/placementleader.h"
 #include "libgateway/store.h"
+#include "libgateway/watchpause.h"
 
 #include <asio/awaitable.hpp>
 #include <asio/signal_set.hpp>
@@ -24,13 +25,10 @@
 /// Longest wait of one watch. A watch whose connection has fallen silent is
 /// noticed when it is over.
 inline constexpr Milliseconds WatchWait{4000};
-/// Pause after a watch that returned changes, so that changes in quick
-/// succession share a call.
-inline constexpr Milliseconds WatchPause{200};
 /// Requests for adapters that come within this time share one report.
 inline constexpr Milliseconds WantsPause{3};
 /// Whole lists are read again after this time, whatever the watch told.
-inline constexpr Seconds RelistInterval{20};
+inline constexpr Seconds RelistInterval{30};
 /// Pause after a failed call to the store: from the first to the longest.
 inline constexpr Milliseconds StoreBackoffMin{100};
 inline constexpr Milliseconds StoreBackoffMax{500};
@@ -60,9 +58,8 @@
   Result<void> start();
 
 private:
-  asio::awaitable<void> followConfiguration();
-  asio::awaitable<void> followEndpoints();
-  asio::awaitable<void> followGateways();
+  asio::awaitable<void> followStore();
+  asio::awaitable<Result<std::uint64_t>> listStore();
   asio::awaitable<void> holdLease();
   asio::awaitable<void> claimLeadership();
   asio::awaitable<void> tick();
@@ -79,7 +76,8 @@
   void applyConfiguration(const StoreItem &Item);
   void applyEndpoints(const StoreRange &List);
   void applyEndpoint(const StoreChange &Change, bool Away);
-  void applyGateways(const StoreRange &List);
+  void applyGateways(std::uint64_t Revision);
+  void applyChanges(const StoreChanges &Changes);
   void onStoreAnswer(bool Good, const char *What);
   bool storeWasAway(TimePoint Now) const;
   void wakePlacement();
@@ -100,6 +98,7 @@
   asio::signal_set m_signals;
   asio::steady_timer m_wakePlacement;
   asio::steady_timer m_announce;
+  std::map<std::string, StoreItem> m_gatewayKeys; ///< By key.
   std::string m_leaderName; ///< Holder of the leader's key; empty if none.
   bool m_claiming = false;
   bool m_memberWritten = false; ///< Under the present lease.
--- a/src/libgateway/leadership.h
+++ b/src/libgateway/leadership.h
@@ -45,6 +45,8 @@
     return leaseValid(Now) ? m_token : std::nullopt;
   }
   bool claimed() const { return m_token.has_value(); }
+  /// Fencing token of the claim; 0 while there is none.
+  std::uint64_t token() const { return m_token.value_or(0); }
 
 private:
   Milliseconds m_ttl;
--- a/src/libgateway/peerreport.cpp
+++ b/src/libgateway/peerreport.cpp
@@ -28,13 +28,30 @@
   return Out;
 }
 
+Json loadsJson(const std::vector<PeerEndpointLoad> &Loads) {
+  Json Out = Json::array();
+  for (const PeerEndpointLoad &L : Loads)
+    Out.push_back(Json::array({L.m_endpoint, L.m_load.m_requests,
+                               L.m_load.m_kvTokens, L.m_load.m_unreadTokens}));
+  return Out;
+}
+
+std::vector<PeerEndpointLoad> loadsFrom(const Json &Rows) {
+  std::vector<PeerEndpointLoad> Out;
+  for (const Json &Row : Rows)
+    Out.push_back({Row.at(0).get<std::string>(),
+                   {Row.at(1).get<unsigned>(), Row.at(2).get<std::uint64_t>(),
+                    Row.at(3).get<std::uint64_t>()}});
+  return Out;
+}
+
 Json encode(const PeerReport &R) {
   Json Out = {{"n", R.m_sender}, {"t", R.m_start}, {"s", R.m_sequence}};
-  Json &Loads = Out["l"] = Json::array();
-  for (const PeerEndpointLoad &L : R.m_loads)
-    Loads.push_back(
-        Json::array({L.m_endpoint, L.m_load.m_requests, L.m_load.m_kvTokens,
-                     L.m_load.m_unreadTokens}));
+  Out["l"] = loadsJson(R.m_loads);
+  if (R.m_leaderToken != 0)
+    Out["k"] = R.m_leaderToken;
+  if (!R.m_fleetLoads.empty())
+    Out["f"] = loadsJson(R.m_fleetLoads);
   Json &Demands = Out["d"] = Json::array();
   for (const PeerModelDemand &D : R.m_demands)
     Demands.push_back(
@@ -71,11 +88,9 @@
   In.at("n").get_to(R.m_sender);
   In.at("t").get_to(R.m_start);
   In.at("s").get_to(R.m_sequence);
-  for (const Json &Row : In.at("l"))
-    R.m_loads.push_back(
-        {Row.at(0).get<std::string>(),
-         {Row.at(1).get<unsigned>(), Row.at(2).get<std::uint64_t>(),
-          Row.at(3).get<std::uint64_t>()}});
+  R.m_loads = loadsFrom(In.at("l"));
+  R.m_leaderToken = In.value("k", std::uint64_t{0});
+  R.m_fleetLoads = loadsFrom(In.value("f", Json::array()));
   for (const Json &Row : In.at("d"))
     R.m_demands.push_back({Row.at(0).get<std::string>(),
                            {Row.at(1).get<double>(), Row.at(2).get<double>(),
--- a/src/libgateway/peerreport.h
+++ b/src/libgateway/peerreport.h
@@ -9,6 +9,7 @@
 #include "libgateway/placement.h"
 #include "primroseworks/error.h"
 
+#include <algorithm>
 #include <string>
 #include <vector>
 
@@ -47,7 +48,11 @@
   std::string m_sender;
   std::uint64_t m_start = 0;    ///< Wall time of the sender's start, in ms.
   std::uint64_t m_sequence = 0; ///< Rises with each report of a start.
+  /// Fencing token of the sender if it leads, otherwise 0.
+  std::uint64_t m_leaderToken = 0;
   std::vector<PeerEndpointLoad> m_loads;
+  /// From the leader of a large fleet: the loads by all gateways.
+  std::vector<PeerEndpointLoad> m_fleetLoads;
   std::vector<PeerModelDemand> m_demands;
   std::vector<PeerWantedAdapter> m_wanted;
   std::vector<ArtifactName> m_usedAdapters; ///< Asked for since the last one.
@@ -55,6 +60,27 @@
   std::vector<PeerStrike> m_strikes;
 };
 
+/// Pause between two reports of one gateway, at least.
+inline constexpr Milliseconds ReportPauseLeast{200};
+/// Pause for each gateway of the fleet, which bounds what a leader receives to
+/// 250 reports a second.
+inline constexpr Milliseconds ReportPausePerMember{4};
+/// Reports without which the sender's loads and demands no longer count.
+inline constexpr int ReportsMissed = 4;
+/// What a report tells counts this long, at least.
+inline constexpr Milliseconds ReportLifetimeLeast{1500};
+
+/// Pause between two reports of one gateway in a fleet of Members.
+inline Duration reportPause(unsigned Members) {
+  return std::max<Duration>(ReportPauseLeast,
+                            ReportPausePerMember * static_cast<int>(Members));
+}
+/// How long a gateway's last report counts.
+inline Duration reportLifetime(unsigned Members) {
+  return std::max<Duration>(ReportLifetimeLeast,
+                            ReportsMissed * reportPause(Members));
+}
+
 /// Largest datagram; longer reports are cut to their first part.
 inline constexpr std::size_t PeerReportBytes = 32'768;
 
--- a/src/libgateway/peerreport_test.cpp
+++ b/src/libgateway/peerreport_test.cpp
@@ -22,6 +22,8 @@
   R.m_usedAdapters = {{"m1", "a2"}};
   R.m_holdings = {{"e1", 77, 12, {HeldModel{"m1", 3, {"a1", "a2"}}}}};
   R.m_strikes = {{~0ULL, 5}};
+  R.m_leaderToken = 41;
+  R.m_fleetLoads = {{"e2", {7, 9000, 300}}};
   return R;
 }
 
@@ -37,6 +39,8 @@
   EXPECT_EQ(R.value().m_wanted[0].m_artifact.second, "a2");
   EXPECT_EQ(R.value().m_holdings[0].m_held[0].m_adapters.size(), 2U);
   EXPECT_EQ(R.value().m_strikes[0].m_fingerprint, ~0ULL);
+  EXPECT_EQ(R.value().m_leaderToken, 41U);
+  EXPECT_EQ(R.value().m_fleetLoads[0].m_load.m_requests, 7U);
 }
 
 // Guards against a datagram of another version, or of nobody, ending a daemon.
@@ -66,11 +70,12 @@
   Fleet.onReport(One, Start);
   Fleet.onReport(Two, Start + Seconds(1));
   PlacementInput In;
-  Fleet.fill(In, Start + Seconds(1));
+  Fleet.fill(In, Start + Seconds(1), reportLifetime(2));
   EXPECT_DOUBLE_EQ(In.m_models["m1"].m_running, 10);
   EXPECT_EQ((In.m_wantedAdapters[{"m1", "a2"}]), 6U);
   PlacementInput Later;
-  Fleet.fill(Later, Start + PeerDemandLifetime + Milliseconds(500));
+  Fleet.fill(Later, Start + reportLifetime(2) + Milliseconds(500),
+             reportLifetime(2));
   EXPECT_DOUBLE_EQ(Later.m_models["m1"].m_running, 5);
 }
 
--- a/src/libgateway/peers.cpp
+++ b/src/libgateway/peers.cpp
@@ -40,8 +40,32 @@
   m_core.m_members = static_cast<unsigned>(m_members.size() + 1);
 }
 
-PeerReport Peers::ownReport(bool IsLeader, TimePoint Now) {
+void Peers::setLeader(const std::string &Name, std::uint64_t Token) {
+  if (Token < m_leaderToken)
+    return; // A report told of a newer leader.
+  m_leader = Name;
+  m_leaderToken = Token;
+}
+
+bool Peers::hasFleetLoads(TimePoint Now) const {
+  return m_fleetLoadsAt != TimePoint{} &&
+         Now - m_fleetLoadsAt < reportLifetime(m_core.m_members);
+}
+
+std::vector<PeerEndpointLoad> Peers::fleetLoads() const {
+  std::vector<PeerEndpointLoad> Out;
+  for (const auto &[Id, E] : m_core.m_endpoints.all()) {
+    const EndpointLoad Sum = E.load();
+    if (Sum.m_requests > 0)
+      Out.push_back({Id, Sum});
+  }
+  return Out;
+}
+
+PeerReport Peers::ownReport(std::uint64_t LeaderToken, TimePoint Now) {
+  const bool IsLeader = LeaderToken != 0;
   PeerReport R;
+  R.m_leaderToken = LeaderToken;
   R.m_sender = m_core.m_settings.m_vm;
   R.m_start = m_start;
   R.m_sequence = ++m_sequence;
@@ -68,19 +92,24 @@
   return R;
 }
 
-std::vector<const Member *> Peers::receivers() {
+std::vector<const Member *> Peers::receivers(bool IsLeader, TimePoint Now) {
   std::vector<const Member *> Out;
-  std::vector<const Member *> Rest;
-  for (const Member &M : m_members) {
-    const bool Fixed = M.m_name == m_leader ||
-                       M.m_failureDomain == m_core.m_settings.m_failureDomain;
-    if (Fixed && Out.size() < ReportReceivers)
+  if (IsLeader || !isLarge()) {
+    for (const Member &M : m_members)
+      Out.push_back(&M);
+    return Out;
+  }
+  for (const Member &M : m_members)
+    if (M.m_name == m_leader)
+      Out.push_back(&M);
+  if (!Out.empty() && hasFleetLoads(Now))
+    return Out;
+  for (std::size_t I = 0; I < m_members.size() && Out.size() < ReportReceivers;
+       ++I) {
+    const Member &M = m_members[m_turn++ % m_members.size()];
+    if (M.m_name != m_leader)
       Out.push_back(&M);
-    else
-      Rest.push_back(&M);
   }
-  for (std::size_t I = 0; I < Rest.size() && Out.size() < ReportReceivers; ++I)
-    Out.push_back(Rest[m_turn++ % Rest.size()]);
   return Out;
 }
 
@@ -98,22 +127,57 @@
     m_bytesSent += Bytes.size();
 }
 
-void Peers::send(bool IsLeader, TimePoint Now) {
-  const PeerReport Report = ownReport(IsLeader, Now);
+void Peers::send(std::uint64_t LeaderToken, TimePoint Now) {
+  PeerReport Report = ownReport(LeaderToken, Now);
   m_core.m_fleetDemand.onReport(Report, Now);
+  const bool IsLeader = LeaderToken != 0;
+  if (IsLeader && m_fleetLoadsAt != TimePoint{}) {
+    // From now on the members' own reports tell their loads.
+    m_fleetLoadsAt = TimePoint{};
+    m_core.m_endpoints.forgetPeers();
+  }
+  if (IsLeader && isLarge()) {
+    // The others need the sums alone.
+    Report.m_fleetLoads = fleetLoads();
+    Report.m_loads.clear();
+    Report.m_demands.clear();
+    Report.m_usedAdapters.clear();
+  }
+  noteReported(Report);
   const std::string Bytes = encodePeerReport(Report);
-  for (const Member *M : receivers())
+  for (const Member *M : receivers(IsLeader, Now))
     sendBytes(Bytes, *M);
 }
 
+void Peers::noteReported(const PeerReport &Report) {
+  m_reported.clear();
+  for (const PeerEndpointLoad &L : Report.m_loads)
+    m_reported[L.m_endpoint] = L.m_load;
+}
+
 void Peers::sendToLeader(TimePoint Now) {
+  const PeerReport Report = ownReport(0, Now);
+  noteReported(Report);
   for (const Member &M : m_members)
     if (M.m_name == m_leader)
-      sendBytes(encodePeerReport(ownReport(false, Now)), M);
+      sendBytes(encodePeerReport(Report), M);
 }
 
-void Peers::noteOwn(TimePoint Now) {
-  m_core.m_fleetDemand.onReport(ownReport(true, Now), Now);
+void Peers::noteOwn(std::uint64_t LeaderToken, TimePoint Now) {
+  m_core.m_fleetDemand.onReport(ownReport(LeaderToken, Now), Now);
+}
+
+/// The sums include what this VM last told the leader, which it knows better.
+void Peers::applyFleetLoads(const PeerReport &Report, TimePoint Now) {
+  m_fleetLoadsAt = Now;
+  m_core.m_endpoints.forgetPeers();
+  for (const PeerEndpointLoad &L : Report.m_fleetLoads) {
+    const auto Own = m_reported.find(L.m_endpoint);
+    m_core.m_endpoints.onPeerLoad(
+        Report.m_sender, L.m_endpoint,
+        Own == m_reported.end() ? L.m_load : L.m_load.without(Own->second),
+        Now);
+  }
 }
 
 void Peers::apply(const PeerReport &Report, TimePoint Now) {
@@ -122,17 +186,30 @@
       (Report.m_start == P.m_start && Report.m_sequence <= P.m_sequence))
     return;
   P = Position{Report.m_start, Report.m_sequence};
-  m_core.m_endpoints.forgetPeer(Report.m_sender);
-  for (const PeerEndpointLoad &L : Report.m_loads)
-    m_core.m_endpoints.onPeerLoad(Report.m_sender, L.m_endpoint, L.m_load, Now);
+  if (Report.m_leaderToken > m_leaderToken)
+    setLeader(Report.m_sender, Report.m_leaderToken);
+  if (!Report.m_fleetLoads.empty()) {
+    applyFleetLoads(Report, Now);
+  } else if (!hasFleetLoads(Now)) {
+    // Otherwise the sums include these loads.
+    m_core.m_endpoints.forgetPeer(Report.m_sender);
+    for (const PeerEndpointLoad &L : Report.m_loads)
+      m_core.m_endpoints.onPeerLoad(Report.m_sender, L.m_endpoint, L.m_load,
+                                    Now);
+  }
   for (const PeerHolding &H : Report.m_holdings)
     m_core.m_endpoints.onAnnounced(H.m_endpoint, H.m_incarnation, H.m_orders,
                                    H.m_held, Now);
   for (const PeerStrike &S : Report.m_strikes)
     m_core.m_suspects.addFromPeer(S.m_fingerprint, S.m_crash, Now);
   m_core.m_fleetDemand.onReport(Report, Now);
-  if (!Report.m_holdings.empty() || !Report.m_loads.empty())
+  const bool LoadsTold =
+      !Report.m_loads.empty() || !Report.m_fleetLoads.empty();
+  if (!Report.m_holdings.empty() ||
+      (LoadsTold && Now - m_placedAt >= PlacePause)) {
+    m_placedAt = Now;
     m_core.placeWaiting(Now);
+  }
   if (!Report.m_wanted.empty() && m_onWanted)
     m_onWanted();
 }
--- a/src/libgateway/peers.h
+++ b/src/libgateway/peers.h
@@ -22,15 +22,17 @@
   std::string m_failureDomain;
 };
 
-/// Pause between two reports of one gateway.
-inline constexpr Milliseconds ReportPause{200};
-/// Receivers of one report: those in the own failure domain and the leader
-/// first, then the others in turn, so that the bytes grow with the fleet's size
-/// and not with its square.
+/// Receivers of one report, at most. In a fleet of no more gateways each
+/// reports to all others. In a larger one each reports to the leader, which
+/// tells all of them the sums; while no sums come, each reports to the leader
+/// and to the others in turn. So the bytes grow with the fleet's size and not
+/// with its square.
 inline constexpr std::size_t ReportReceivers = 10;
 /// The leader repeats what an engine holds for this long after a change.
 inline constexpr Milliseconds HoldingRepeat{2500};
 
+/// Pause between two tries to place waiting requests because of reports.
+inline constexpr Milliseconds PlacePause{10};
 /// A crash is told for this long, so that a lost datagram does not hide it.
 inline constexpr Milliseconds StrikeRepeat{2000};
 
@@ -42,17 +44,20 @@
   /// Receives reports until the socket is closed.
   asio::awaitable<void> receive();
   void setMembers(std::vector<Member> Members);
-  void setLeader(const std::string &Name) { m_leader = Name; }
+  /// Name holds the leader's key since the store's revision Token; an empty
+  /// Name: nobody did at that revision.
+  void setLeader(const std::string &Name, std::uint64_t Token);
   /// What an engine holds has changed by an order of this VM.
   void onHoldingChanged(const std::string &Endpoint, TimePoint Now) {
     m_changed[Endpoint] = Now;
   }
-  /// Sends a report to the receivers whose turn it is.
-  void send(bool IsLeader, TimePoint Now);
+  /// Sends a report to the receivers whose turn it is. LeaderToken: this VM's
+  /// fencing token, 0 if it does not lead.
+  void send(std::uint64_t LeaderToken, TimePoint Now);
   /// Sends a report to the leader alone.
   void sendToLeader(TimePoint Now);
   /// Counts this VM's demand without sending it.
-  void noteOwn(TimePoint Now);
+  void noteOwn(std::uint64_t LeaderToken, TimePoint Now);
   /// Called when a peer's callers wait for adapters.
   void setOnWanted(std::function<void()> OnWanted) {
     m_onWanted = std::move(OnWanted);
@@ -60,16 +65,26 @@
   std::uint64_t bytesSent() const { return m_bytesSent; }
 
 private:
-  PeerReport ownReport(bool IsLeader, TimePoint Now);
+  PeerReport ownReport(std::uint64_t LeaderToken, TimePoint Now);
   void apply(const PeerReport &Report, TimePoint Now);
-  std::vector<const Member *> receivers();
+  void noteReported(const PeerReport &Report);
+  void applyFleetLoads(const PeerReport &Report, TimePoint Now);
+  std::vector<PeerEndpointLoad> fleetLoads() const;
+  std::vector<const Member *> receivers(bool IsLeader, TimePoint Now);
+  bool isLarge() const { return m_members.size() > ReportReceivers; }
+  bool hasFleetLoads(TimePoint Now) const;
   void sendBytes(const std::string &Bytes, const Member &To);
 
   Core &m_core;
   asio::ip::udp::socket m_socket;
   std::vector<Member> m_members; ///< Without this one.
   std::string m_leader;
-  std::size_t m_turn = 0; ///< Next of m_members outside the fixed receivers.
+  std::uint64_t m_leaderToken = 0; ///< Of the newest leader heard of.
+  std::size_t m_turn = 0;          ///< Next of m_members to get a report.
+  TimePoint m_placedAt{};          ///< When a report last placed requests.
+  TimePoint m_fleetLoadsAt{};      ///< When the leader last told the sums.
+  /// Own loads as the leader was last told.
+  std::map<std::string, EndpointLoad> m_reported;
   std::uint64_t m_start = 0;
   std::uint64_t m_sequence = 0;
   std::uint64_t m_bytesSent = 0;
--- a/src/libgateway/placementleader.cpp
+++ b/src/libgateway/placementleader.cpp
@@ -84,7 +84,7 @@
 PlacementInput PlacementLeader::input(const std::string &ServiceName,
                                       TimePoint Now) {
   PlacementInput In;
-  m_core.m_fleetDemand.fill(In, Now);
+  m_core.m_fleetDemand.fill(In, Now, reportLifetime(m_core.m_members));
   for (const auto &[Id, E] : m_core.m_endpoints.all())
     if (E.m_record.m_service == ServiceName)
       In.m_engines.push_back(view(E, Now));
--- a/src/libgateway/settings.cpp
+++ b/src/libgateway/settings.cpp
@@ -99,6 +99,16 @@
          O.m_lease = Milliseconds(static_cast<long>(V));
        },
        [](const S &O) { return shown(O.m_lease.count()); }},
+      {"store.drain-limit-ms", Form::Number, "ms", 500, 60000,
+       [](S &O, Str, double V) {
+         O.m_drainLimit = Milliseconds(static_cast<long>(V));
+       },
+       [](const S &O) { return shown(O.m_drainLimit.count()); }},
+      {"store.configuration-limit-ms", Form::Number, "ms", 500, 60000,
+       [](S &O, Str, double V) {
+         O.m_configurationLimit = Milliseconds(static_cast<long>(V));
+       },
+       [](const S &O) { return shown(O.m_configurationLimit.count()); }},
       {"stop.limit-s", Form::Number, "s", 1, 3600,
        [](S &O, Str, double V) {
          O.m_stopTime = Milliseconds(static_cast<long>(V * 1000));
@@ -122,7 +132,8 @@
 /// Settings that have a default; all others are required.
 bool hasDefault(const std::string &Key) {
   return Key == "vm.descriptors" || Key == "listen.metrics" ||
-         Key == "store.lease-ms" || Key == "stop.limit-s" ||
+         Key == "store.lease-ms" || Key == "store.drain-limit-ms" ||
+         Key == "store.configuration-limit-ms" || Key == "stop.limit-s" ||
          Key.rfind("retries.", 0) == 0;
 }
 
--- a/src/libgateway/settings.h
+++ b/src/libgateway/settings.h
@@ -15,13 +15,17 @@
   std::string m_vm; ///< Name of this VM, unique in the deployment.
   std::string m_failureDomain;
   std::map<std::string, std::string> m_regions; ///< By failure domain.
-  std::string m_address;         ///< IP of this VM, for its peers.
-  std::string m_callers;         ///< "IP:PORT" where callers connect.
-  std::string m_ready;           ///< "IP:PORT" of the readiness check.
-  std::string m_metrics;         ///< "IP:PORT" of the metrics; empty: none.
-  unsigned m_peerPort = 0;       ///< UDP port of all gateways.
-  std::string m_store;           ///< "IP:PORT" of the platform's store.
-  Milliseconds m_lease{2000};    ///< Of this process in the store.
+  std::string m_address;      ///< IP of this VM, for its peers.
+  std::string m_callers;      ///< "IP:PORT" where callers connect.
+  std::string m_ready;        ///< "IP:PORT" of the readiness check.
+  std::string m_metrics;      ///< "IP:PORT" of the metrics; empty: none.
+  unsigned m_peerPort = 0;    ///< UDP port of all gateways.
+  std::string m_store;        ///< "IP:PORT" of the platform's store.
+  Milliseconds m_lease{2000}; ///< Of this process in the store.
+  /// An endpoint that leaves gets no request later than this.
+  Milliseconds m_drainLimit{2500};
+  /// A new configuration is in force after this.
+  Milliseconds m_configurationLimit{2500};
   Milliseconds m_stopTime{8000}; ///< From SIGTERM until the process is killed.
   RetryLimit m_retries;
   unsigned m_descriptors = 1024; ///< Most open files and sockets.
