gateway: claims are seen in the store, close gateways tell loads at once

(3) loads told every 200 ms are older than the time in which a prompt is read; in a fleet of 88 the members of the own failure domain used up the receivers, so the leader heard of little demand. Change: a claim ends only by a view at or after its revision, and is taken over when the key stands under the own lease; a silent endpoint is kept until another one has a place; gateways of one failure domain (all, in a fleet of up to 11) tell changed loads within 4 ms, the leader tells sums by domain; announcements carry only what changed.

--- a/src/libgateway/chooser.h
+++ b/src/libgateway/chooser.h
@@ -68,8 +68,8 @@
 inline constexpr double TypicalLatencyMs = 60;
 /// Random cost that keeps gateways which see the same loads from choosing the
 /// same endpoint until the next report, as time: for each gateway and at most.
-inline constexpr double SpreadPerChooserMs = 1;
-inline constexpr double SpreadMostMs = 60;
+inline constexpr double SpreadPerChooserMs = 0.25;
+inline constexpr double SpreadMostMs = 40;
 /// Ranks from here on are low: they leave a part of each engine to the others.
 inline constexpr unsigned FirstLowRank = 2;
 /// Share of an engine's batch that the low ranks may fill:
--- a/src/libgateway/connections.cpp
+++ b/src/libgateway/connections.cpp
@@ -8,6 +8,12 @@
 #include <netinet/tcp.h>
 #include <sys/socket.h>
 
+#if defined(__GNUC__) && !defined(__clang__)
+// g++ 12 inlines one half of Asio's pair of allocation functions for coroutine
+// frames and takes the other for a foreign one.
+#pragma GCC diagnostic ignored "-Wmismatched-new-delete"
+#endif
+
 namespace primroseworks::gateway {
 
 namespace {
@@ -221,17 +227,31 @@
   m_idle.erase(It);
 }
 
-void Watchdog::arm(const ConnectionPtr &C, TimePoint At) {
-  *m_fired = false;
+void Watchdog::arm(const ConnectionPtr &C, TimePoint At, Extension Extend) {
+  m_state->m_fired = false;
+  const std::uint64_t Turn = ++m_state->m_turn;
   m_timer.expires_at(At);
-  m_timer.async_wait([C, Fired = m_fired](std::error_code Ec) {
-    if (Ec)
+  m_timer.async_wait([this, C, Turn, State = m_state,
+                      Extend = std::move(Extend)](std::error_code Ec) {
+    // While the turn is the same, this object has not ended.
+    if (Ec || State->m_turn != Turn)
+      return;
+    const TimePoint Now = std::chrono::steady_clock::now();
+    const TimePoint Next = Extend ? Extend(Now) : Now;
+    if (Next > Now) {
+      arm(C, Next, Extend);
       return;
-    *Fired = true;
+    }
+    State->m_fired = true;
     C->close();
   });
 }
 
+void Watchdog::disarm() {
+  ++m_state->m_turn;
+  m_timer.cancel();
+}
+
 asio::awaitable<Result<HttpAnswer>>
 callHttp(asio::io_context &Io, ConnectionPool &Pool, std::string Key,
          std::string Address, std::string Request, Milliseconds Limit) {
--- a/src/libgateway/connections.h
+++ b/src/libgateway/connections.h
@@ -11,6 +11,8 @@
 #include <asio/io_context.hpp>
 #include <asio/ip/tcp.hpp>
 #include <asio/steady_timer.hpp>
+#include <cstdint>
+#include <functional>
 #include <map>
 #include <memory>
 #include <string>
@@ -107,18 +109,27 @@
 /// Ends a task's wait on a socket at a time: closes the connection.
 class Watchdog {
 public:
+  /// Asked when the time is up: a later time lets the wait go on until then.
+  using Extension = std::function<TimePoint(TimePoint Now)>;
+
   explicit Watchdog(asio::io_context &Io) : m_timer(Io) {}
-  ~Watchdog() { m_timer.cancel(); }
+  ~Watchdog() { disarm(); }
   Watchdog(const Watchdog &) = delete;
   Watchdog &operator=(const Watchdog &) = delete;
-  /// Closes C at At unless disarmed or armed anew before.
-  void arm(const ConnectionPtr &C, TimePoint At);
-  void disarm() { m_timer.cancel(); }
-  bool fired() const { return *m_fired; }
+  /// Closes C at At unless disarmed or armed anew before, or Extend tells a
+  /// later time.
+  void arm(const ConnectionPtr &C, TimePoint At, Extension Extend = nullptr);
+  void disarm();
+  bool fired() const { return m_state->m_fired; }
 
 private:
+  struct State {
+    bool m_fired = false;
+    std::uint64_t m_turn = 0; ///< Rises with each arming and disarming.
+  };
   asio::steady_timer m_timer;
-  std::shared_ptr<bool> m_fired = std::make_shared<bool>(false);
+  /// Shared with waits whose end is already on its way.
+  std::shared_ptr<State> m_state = std::make_shared<State>();
 };
 
 } // namespace primroseworks::gateway
--- a/src/libgateway/core.cpp
+++ b/src/libgateway/core.cpp
@@ -39,6 +39,8 @@
                    bool PromptRead, TimePoint Now) {
   m_endpoints.onEnded(Endpoint, Query.m_size, PromptRead);
   m_demand.onEnded(Query.m_model, Query.m_adapter);
+  if (!PromptRead)
+    noteLoadChanged(Endpoint); // Otherwise the first event told it already.
   placeWaiting(Now);
 }
 
--- a/src/libgateway/core.h
+++ b/src/libgateway/core.h
@@ -42,6 +42,10 @@
   /// A request that used Endpoint has ended there.
   void release(const std::string &Endpoint, const ChoiceQuery &Query,
                bool PromptRead, TimePoint Now);
+  void noteLoadChanged(const std::string &Endpoint) const {
+    if (m_onLoadChanged)
+      m_onLoadChanged(Endpoint);
+  }
   /// Rejects all waiting requests, and those that would have to wait.
   void turnAwayWaiting();
   RetryWindow &retries(const std::string &Service);
@@ -66,6 +70,8 @@
   bool m_stopping = false;    ///< Callers are sent to other VMs.
   bool m_closing = false;     ///< Connections end after their request.
   bool m_turningAway = false; ///< No request may wait any more.
+  /// Tells close peers at once that an endpoint got or lost work of this VM.
+  std::function<void(const std::string &)> m_onLoadChanged;
   std::function<void()> m_onAdapterWanted; ///< Tells the leader at once.
   std::mt19937_64 m_random;
 
--- a/src/libgateway/endpoints.cpp
+++ b/src/libgateway/endpoints.cpp
@@ -22,6 +22,7 @@
   m_requests += O.m_requests;
   m_kvTokens += O.m_kvTokens;
   m_unreadTokens += O.m_unreadTokens;
+  m_recentTokens += O.m_recentTokens;
   return *this;
 }
 
@@ -31,19 +32,29 @@
   Out.m_kvTokens = m_kvTokens - std::min(m_kvTokens, Part.m_kvTokens);
   Out.m_unreadTokens =
       m_unreadTokens - std::min(m_unreadTokens, Part.m_unreadTokens);
+  Out.m_recentTokens =
+      m_recentTokens - std::min(m_recentTokens, Part.m_recentTokens);
   return Out;
 }
 
-EndpointLoad Endpoint::load() const {
-  EndpointLoad Sum = m_own;
+EndpointLoad Endpoint::ownLoad(TimePoint Now) const {
+  EndpointLoad Out = m_own;
+  for (const SentPrompt &P : m_sentPrompts)
+    if (Now - P.m_at < PromptWindow)
+      Out.m_recentTokens += P.m_tokens;
+  return Out;
+}
+
+EndpointLoad Endpoint::load(TimePoint Now) const {
+  EndpointLoad Sum = ownLoad(Now);
   Sum += m_peerSum;
   return Sum;
 }
 
 void Endpoint::setPeer(const std::string &Peer, EndpointLoad Load,
-                       TimePoint Now) {
+                       TimePoint Until) {
   erasePeer(Peer);
-  m_peers[Peer] = PeerLoad{Load, Now};
+  m_peers[Peer] = PeerLoad{Load, Until};
   m_peerSum += Load;
 }
 
@@ -102,7 +113,7 @@
     onRemoved(Id, StoreWasAway, Now);
 }
 
-void EndpointTable::expire(TimePoint Now, Duration PeerLifetime) {
+void EndpointTable::expire(TimePoint Now) {
   for (auto It = m_endpoints.begin(); It != m_endpoints.end();) {
     Endpoint &E = It->second;
     if (E.m_missingSince && Now - *E.m_missingSince > LapsedEntryGrace) {
@@ -111,7 +122,7 @@
     }
     std::vector<std::string> Silent;
     for (const auto &[Name, Peer] : E.m_peers)
-      if (Now - Peer.m_at > PeerLifetime)
+      if (Peer.m_until < Now)
         Silent.push_back(Name);
     for (const std::string &Name : Silent)
       E.erasePeer(Name);
@@ -122,9 +133,9 @@
 }
 
 void EndpointTable::onPeerLoad(const std::string &Peer, const std::string &Id,
-                               EndpointLoad Load, TimePoint Now) {
+                               EndpointLoad Load, TimePoint Until) {
   if (Endpoint *E = find(Id))
-    E->setPeer(Peer, Load, Now);
+    E->setPeer(Peer, Load, Until);
 }
 
 void EndpointTable::forgetPeer(const std::string &Peer) {
@@ -174,12 +185,18 @@
   E->m_orders = Orders;
 }
 
-void EndpointTable::onSent(const std::string &Id, RequestSize Size) {
-  if (Endpoint *E = find(Id)) {
-    ++E->m_own.m_requests;
-    E->m_own.m_kvTokens += Size.m_kvTokens;
-    E->m_own.m_unreadTokens += Size.m_promptTokens;
-  }
+void EndpointTable::onSent(const std::string &Id, RequestSize Size,
+                           TimePoint Now) {
+  Endpoint *E = find(Id);
+  if (!E)
+    return;
+  ++E->m_own.m_requests;
+  E->m_own.m_kvTokens += Size.m_kvTokens;
+  E->m_own.m_unreadTokens += Size.m_promptTokens;
+  while (!E->m_sentPrompts.empty() &&
+         Now - E->m_sentPrompts.front().m_at >= PromptWindow)
+    E->m_sentPrompts.pop_front();
+  E->m_sentPrompts.push_back({Now, Size.m_promptTokens});
 }
 
 void EndpointTable::onPromptRead(const std::string &Id, RequestSize Size) {
--- a/src/libgateway/endpoints.h
+++ b/src/libgateway/endpoints.h
@@ -5,6 +5,7 @@
 
 #include "libgateway/types.h"
 
+#include <deque>
 #include <map>
 #include <string>
 #include <unordered_map>
@@ -17,12 +18,17 @@
   unsigned m_requests = 0;
   std::uint64_t m_kvTokens = 0;
   std::uint64_t m_unreadTokens = 0; ///< Prompts without a first event yet.
+  /// Prompts sent within the last PromptWindow.
+  std::uint64_t m_recentTokens = 0;
 
   EndpointLoad &operator+=(const EndpointLoad &O);
   /// What remains without Part; no count falls below zero.
   EndpointLoad without(const EndpointLoad &Part) const;
 };
 
+/// Span over which the prompts sent to an endpoint are summed.
+inline constexpr Milliseconds PromptWindow{300};
+
 /// Size of a request, as far as an engine's load goes.
 struct RequestSize {
   std::uint64_t m_kvTokens = 0;
@@ -52,10 +58,15 @@
   /// This VM gives its orders, and m_held comes from them and from reports.
   /// Entries are older than both.
   bool m_ledHere = false;
-  EndpointLoad m_own;
+  EndpointLoad m_own; ///< Without m_recentTokens, which ownLoad() fills.
+  struct SentPrompt {
+    TimePoint m_at{};
+    std::uint64_t m_tokens = 0;
+  };
+  std::deque<SentPrompt> m_sentPrompts; ///< By this VM, oldest first.
   struct PeerLoad {
     EndpointLoad m_load;
-    TimePoint m_at{};
+    TimePoint m_until{}; ///< Forgotten then, unless told again.
   };
   std::map<std::string, PeerLoad> m_peers; ///< By member name.
   EndpointLoad m_peerSum;                  ///< Of m_peers.
@@ -71,8 +82,9 @@
 
   const HeldModel *held(const std::string &Model) const;
   bool holds(const std::string &Model, const std::string &Adapter) const;
-  EndpointLoad load() const; ///< Own and peers'.
-  void setPeer(const std::string &Peer, EndpointLoad Load, TimePoint Now);
+  EndpointLoad ownLoad(TimePoint Now) const;
+  EndpointLoad load(TimePoint Now) const; ///< Own and peers'.
+  void setPeer(const std::string &Peer, EndpointLoad Load, TimePoint Until);
   void erasePeer(const std::string &Peer);
 };
 
@@ -113,12 +125,12 @@
               TimePoint Now);
   void onRecord(const EndpointRecord &Record, TimePoint Now);
   void onRemoved(const std::string &Id, bool StoreWasAway, TimePoint Now);
-  /// Drops endpoints whose entries did not return, and loads that were last
-  /// told longer than PeerLifetime ago.
-  void expire(TimePoint Now, Duration PeerLifetime);
+  /// Drops endpoints whose entries did not return, and loads whose time is up.
+  void expire(TimePoint Now);
 
+  /// A peer's load, which counts until Until.
   void onPeerLoad(const std::string &Peer, const std::string &Id,
-                  EndpointLoad Load, TimePoint Now);
+                  EndpointLoad Load, TimePoint Until);
   /// Forgets a peer's loads: its next report tells all of them.
   void forgetPeer(const std::string &Peer);
   /// Forgets the loads of all peers.
@@ -136,7 +148,7 @@
   void onReport(const std::string &Id, std::uint64_t Incarnation,
                 std::uint64_t Orders, const std::vector<HeldModel> &Held,
                 TimePoint Now);
-  void onSent(const std::string &Id, RequestSize Size);
+  void onSent(const std::string &Id, RequestSize Size, TimePoint Now);
   /// The engine has read the prompt.
   void onPromptRead(const std::string &Id, RequestSize Size);
   /// PromptRead: onPromptRead() was called for it.
--- a/src/libgateway/exchange.cpp
+++ b/src/libgateway/exchange.cpp
@@ -61,7 +61,8 @@
   m_placed = true;
   m_choice = Where;
   m_ticket = 0;
-  m_core.m_endpoints.onSent(Where.m_endpoint, m_query.m_size);
+  m_core.m_endpoints.onSent(Where.m_endpoint, m_query.m_size, clockNow());
+  m_core.noteLoadChanged(Where.m_endpoint);
   m_promptRead = false;
   m_core.m_demand.onStarted(m_query.m_model, m_query.m_adapter);
   m_wake.cancel();
@@ -182,6 +183,27 @@
   return false;
 }
 
+/// Whether another endpoint could have the request at once.
+bool Exchange::canMove(TimePoint Now) {
+  if (m_sends >= m_route->m_maxAttempts ||
+      !m_core.retries(m_query.m_service).allows(m_core.m_members, Now))
+    return false;
+  ChoiceQuery Query = m_query;
+  Query.m_excluded.push_back(m_choice.m_endpoint);
+  return m_core.choose(Query, Now).m_obstacle == ChoiceObstacle::None;
+}
+
+/// An endpoint that is silent for long may still answer: it is given up only
+/// for another one that has a place, or at the end.
+Watchdog::Extension Exchange::keepUnlessMovable() {
+  return [this](TimePoint Now) {
+    const TimePoint End = m_endBy + DeadlineGrace;
+    if (Now >= End || canMove(Now))
+      return Now;
+    return std::min<TimePoint>(End, Now + MoveLookPause);
+  };
+}
+
 /// Longest wait for an endpoint that still leaves the answer a use.
 Duration Exchange::waitLimit(TimePoint Now) const {
   if (m_committed)
@@ -345,7 +367,7 @@
   m_paused = false;
   ++m_sends;
   Watchdog Dog(m_core.m_io);
-  Dog.arm(C, attemptLimit(Now));
+  Dog.arm(C, attemptLimit(Now), keepUnlessMovable());
   const Result<void> Sent = co_await C->send(requestBytes(Now));
   AttemptEnd End = AttemptEnd::Broken;
   // An endpoint may answer and close before it has read a long body.
@@ -429,6 +451,7 @@
   const TimePoint Now = clockNow();
   m_promptRead = true;
   m_core.m_endpoints.onPromptRead(m_choice.m_endpoint, m_query.m_size);
+  m_core.noteLoadChanged(m_choice.m_endpoint);
   m_core.m_endpoints.onFirstEvent(m_query.m_service, Now - m_sentAt,
                                   m_choice.m_tokensAhead +
                                       m_query.m_size.m_promptTokens);
@@ -512,8 +535,10 @@
       co_return AttemptEnd::Broken;
     if (!Ready.empty()) {
       const TimePoint End = m_endBy + DeadlineGrace;
-      Dog.arm(C, MayMove ? std::min<TimePoint>(End, clockNow() + StreamGapLimit)
-                         : End);
+      Dog.arm(C,
+              MayMove ? std::min<TimePoint>(End, clockNow() + StreamGapLimit)
+                      : End,
+              keepUnlessMovable());
     }
     const Result<void> Step = co_await C->readSome();
     if (!Step)
--- a/src/libgateway/exchange.h
+++ b/src/libgateway/exchange.h
@@ -43,6 +43,9 @@
 inline constexpr Milliseconds StreamGapLimit{1200};
 /// First event overdue, if the stream may go on elsewhere.
 inline constexpr Milliseconds FirstEventLimit{2000};
+/// A silent endpoint is kept while no other has a place; that is looked at
+/// again after this time.
+inline constexpr Milliseconds MoveLookPause{150};
 /// Shortest time that a repeatable request gets before it is sent elsewhere.
 inline constexpr Milliseconds RepeatableLimit{250};
 /// Longest body of an answer that is not a stream.
@@ -84,6 +87,8 @@
   std::string answerHead(const HttpHead &Head, bool Chunked,
                          std::size_t Length) const;
   bool mayRepeat(TimePoint Now);
+  bool canMove(TimePoint Now);
+  Watchdog::Extension keepUnlessMovable();
   TimePoint attemptLimit(TimePoint Now) const;
   Duration waitLimit(TimePoint Now) const;
   Duration expectedWait(ChoiceObstacle Obstacle, TimePoint Now) const;
--- a/src/libgateway/gateway.cpp
+++ b/src/libgateway/gateway.cpp
@@ -60,7 +60,7 @@
       m_announce(Io) {
   m_core.m_onAdapterWanted = [this] { wakePlacement(); };
   m_peers.setOnWanted([this] {
-    if (m_claim.claimed())
+    if (leads())
       wakePlacement();
   });
 }
@@ -102,6 +102,10 @@
   co_await Timer.async_wait(asio::redirect_error(asio::use_awaitable, Ignored));
 }
 
+std::uint64_t Gateway::token() const {
+  return m_claim.tokenAt(BootClock::now()).value_or(0);
+}
+
 bool Gateway::ready() const {
   return !m_core.m_stopping && m_core.m_configuration &&
          m_core.m_endpointsKnown;
@@ -147,6 +151,7 @@
   const std::uint64_t Version = Next.value().m_version;
   if (m_core.m_configuration && Version <= m_core.m_configuration->m_version)
     return; // An older one never replaces a newer one.
+  Next.value().deriveTargets();
   m_core.m_configuration =
       std::make_shared<const Configuration>(std::move(Next.value()));
   m_core.m_configurationAt = clockNow();
@@ -259,7 +264,7 @@
     } else if (C.m_key.rfind(GatewayPrefix, 0) == 0) {
       GatewaysChanged = true;
       if (C.m_value)
-        m_gatewayKeys[C.m_key] = {C.m_key, *C.m_value, C.m_revision};
+        m_gatewayKeys[C.m_key] = {C.m_key, *C.m_value, C.m_revision, C.m_lease};
       else
         m_gatewayKeys.erase(C.m_key);
     } else if (C.m_key == m_core.m_dialect.configurationKey() && C.m_value) {
@@ -272,7 +277,7 @@
   if (!EndpointsChanged)
     return;
   m_core.placeWaiting(Now);
-  if (m_claim.claimed())
+  if (leads())
     wakePlacement();
 }
 
@@ -345,9 +350,15 @@
   m_leaderName = Leader;
   m_peers.setMembers(std::move(Members));
   m_peers.setLeader(Leader, Led ? Key->second.m_revision : Revision);
-  if (Leader != m_core.m_settings.m_vm && m_claim.claimed()) {
-    m_claim.onNotLeader();
+  if (Leader != m_core.m_settings.m_vm && m_claim.onOthersKey(Revision))
     m_leader.onClaimLost();
+  // A claim whose answer was lost shows here.
+  if (Led && Leader == m_core.m_settings.m_vm && !m_claim.claimed() &&
+      m_claim.lease() != 0 && Key->second.m_lease == m_claim.lease()) {
+    m_claim.onLeader(Key->second.m_revision);
+    decisionlog::line(LogClass::Lifecycle, "claimed_leadership")
+        .number("token", static_cast<std::int64_t>(Key->second.m_revision))
+        .text("reason", "key_seen");
   }
   if (Leader.empty() && !m_claiming && !m_core.m_stopping)
     asio::co_spawn(
@@ -424,20 +435,20 @@
     if (Ec)
       return;
     const TimePoint Now = clockNow();
-    if (!m_claim.claimed()) {
+    if (!leads()) {
       m_peers.sendToLeader(Now);
       return;
     }
-    m_peers.noteOwn(m_claim.token(), Now);
+    m_peers.noteOwn(token(), Now);
     m_leader.step(Now);
   });
 }
 
 void Gateway::announceHoldings() {
-  m_announce.expires_after(WantsPause);
+  m_announce.expires_after(m_peers.announcePause());
   m_announce.async_wait([this](std::error_code Ec) {
     if (!Ec)
-      m_peers.send(m_claim.token(), clockNow());
+      m_peers.announce(token(), clockNow());
   });
 }
 
@@ -446,8 +457,8 @@
     co_await sleep(reportPause(m_core.m_members));
     const TimePoint Now = clockNow();
     m_core.m_demand.update(Now);
-    m_peers.send(m_claim.token(), Now);
-    if (m_claim.claimed())
+    m_peers.send(token(), Now);
+    if (leads())
       m_leader.step(Now);
   }
 }
@@ -462,13 +473,14 @@
       decisionlog::flush();
     if (Count % 4 != 0)
       continue;
-    m_core.m_endpoints.expire(Now, reportLifetime(m_core.m_members));
+    m_core.m_endpoints.expire(Now);
     m_core.m_pool.expire(Now);
     m_storePool.expire(Now);
     m_core.m_metrics->gauge("waiting",
                             static_cast<double>(m_core.m_queue.size()));
     m_core.m_metrics->gauge("caller_connections",
                             static_cast<double>(m_callers.size()));
+    m_core.m_metrics->gauge("leads", leads() ? 1 : 0);
     m_core.m_metrics->gauge("loop_lag_seconds", toSeconds(clockNow() - Now));
     m_core.m_metrics->gauge("log_lines_left_out",
                             static_cast<double>(decisionlog::dropped()));
--- a/src/libgateway/gateway.h
+++ b/src/libgateway/gateway.h
@@ -85,6 +85,11 @@
   void reloadSettings();
   std::string statusText(bool Metrics, const HttpHead &Head, unsigned &Status);
   bool ready() const;
+  /// Fencing token of a claim that is valid now, otherwise 0.
+  std::uint64_t token() const;
+  /// Whether this VM may order engines now. A leader cut off from the store
+  /// stops to count as one before its lease ends.
+  bool leads() const { return token() != 0; }
 
   asio::io_context &m_io;
   Core m_core;
--- a/src/libgateway/leadership.h
+++ b/src/libgateway/leadership.h
@@ -33,8 +33,16 @@
   void onLeaseLost();
   /// The leader's key was written under the present lease.
   void onLeader(std::uint64_t FencingToken) { m_token = FencingToken; }
-  /// The key is another's or gone, or an engine has seen a higher token.
+  /// An engine has seen a higher token.
   void onNotLeader() { m_token.reset(); }
+  /// The key was another's or gone at a revision of the store. A view from
+  /// before the claim tells nothing about it. True if the claim has ended.
+  bool onOthersKey(std::uint64_t Revision) {
+    if (!m_token || Revision < *m_token)
+      return false;
+    m_token.reset();
+    return true;
+  }
 
   std::uint64_t lease() const { return m_lease; }
   bool leaseValid(BootTime Now) const {
@@ -45,8 +53,6 @@
     return leaseValid(Now) ? m_token : std::nullopt;
   }
   bool claimed() const { return m_token.has_value(); }
-  /// Fencing token of the claim; 0 while there is none.
-  std::uint64_t token() const { return m_token.value_or(0); }
 
 private:
   Milliseconds m_ttl;
--- a/src/libgateway/leadership_test.cpp
+++ b/src/libgateway/leadership_test.cpp
@@ -48,3 +48,16 @@
   Claim.onLeaseLost();
   EXPECT_FALSE(Claim.leaseValid(at(30)));
 }
+
+// Guards against a leader that gives up its claim because of an answer of the
+// store from before it: its key stays, so nobody else may claim either.
+TEST(LeaderClaim, AnOlderViewOfTheStoreDoesNotEndTheClaim) {
+  LeaderClaim C(Milliseconds(2000), Milliseconds(300));
+  const BootTime Start = BootTime() + std::chrono::seconds(100);
+  C.onLeaseRenewed(7, Start);
+  C.onLeader(5);
+  EXPECT_FALSE(C.onOthersKey(4));
+  EXPECT_TRUE(C.tokenAt(Start));
+  EXPECT_TRUE(C.onOthersKey(6));
+  EXPECT_FALSE(C.tokenAt(Start));
+}
--- /dev/null
+++ b/src/libgateway/peeraudience_test.cpp
@@ -0,0 +1,76 @@
+// Tests of the receivers of reports between gateways.
+#include "libgateway/peeraudience.h"
+
+#include <gtest/gtest.h>
+#include <set>
+
+using namespace primroseworks::gateway;
+
+namespace {
+
+/// Gateways of six failure domains; their names sort by domain.
+std::vector<Member> fleet(unsigned Count) {
+  std::vector<Member> Out;
+  for (unsigned I = 0; I < Count; ++I) {
+    const unsigned Domain = I * 6 / Count;
+    Out.push_back({"vm-" + std::to_string(Domain) + "-" + std::to_string(I),
+                   "10.0.0.1", "d" + std::to_string(Domain)});
+  }
+  return Out;
+}
+
+PeerAudience audience(unsigned Count) {
+  PeerAudience A("vm-2-x", "d2");
+  A.setMembers(fleet(Count));
+  return A;
+}
+
+bool contains(const std::vector<const Member *> &List,
+              const std::string &Name) {
+  for (const Member *M : List)
+    if (M->m_name == Name)
+      return true;
+  return false;
+}
+
+} // namespace
+
+TEST(PeerAudience, ASmallFleetTellsEverybody) {
+  PeerAudience A = audience(8);
+  EXPECT_FALSE(A.isLarge());
+  EXPECT_EQ(A.receivers("vm-0-0", false).size(), 8U);
+  EXPECT_TRUE(A.isClose("vm-5-7"));
+}
+
+// Guards against a leader that plans without most of the fleet's demand: with
+// 88 gateways the members of the own domain used up the receivers.
+TEST(PeerAudience, TheLeaderIsAlwaysTold) {
+  for (const unsigned Count : {30U, 88U, 300U, 400U}) {
+    PeerAudience A = audience(Count);
+    const std::string Leader = fleet(Count).back().m_name;
+    EXPECT_TRUE(contains(A.receivers(Leader, true), Leader)) << Count;
+    EXPECT_TRUE(contains(A.receivers(Leader, false), Leader)) << Count;
+  }
+}
+
+// Guards against messages that grow with the square of the fleet's size.
+TEST(PeerAudience, ReceiversAreBoundedAtAnySize) {
+  for (const unsigned Count : {30U, 88U, 300U, 400U}) {
+    PeerAudience A = audience(Count);
+    EXPECT_LE(A.receivers("", false).size(), CloseMost + UnledReceivers)
+        << Count;
+    EXPECT_LE(A.closeMembers().size(), CloseMost) << Count;
+  }
+  EXPECT_FALSE(audience(400).domainIsClose());
+  EXPECT_TRUE(audience(88).domainIsClose());
+}
+
+// Guards against gateways that never hear of each other while nobody leads.
+TEST(PeerAudience, WithoutALeaderAllAreToldInTurn) {
+  PeerAudience A = audience(88);
+  std::set<std::string> Told;
+  for (int I = 0; I < 12; ++I)
+    for (const Member *M : A.receivers("", false))
+      Told.insert(M->m_name);
+  EXPECT_EQ(Told.size(), 88U);
+}
--- a/src/libgateway/peerreport.cpp
+++ b/src/libgateway/peerreport.cpp
@@ -31,17 +31,19 @@
 Json loadsJson(const std::vector<PeerEndpointLoad> &Loads) {
   Json Out = Json::array();
   for (const PeerEndpointLoad &L : Loads)
-    Out.push_back(Json::array({L.m_endpoint, L.m_load.m_requests,
-                               L.m_load.m_kvTokens, L.m_load.m_unreadTokens}));
+    Out.push_back(
+        Json::array({L.m_endpoint, L.m_load.m_requests, L.m_load.m_kvTokens,
+                     L.m_load.m_unreadTokens, L.m_load.m_recentTokens}));
   return Out;
 }
 
 std::vector<PeerEndpointLoad> loadsFrom(const Json &Rows) {
   std::vector<PeerEndpointLoad> Out;
   for (const Json &Row : Rows)
-    Out.push_back({Row.at(0).get<std::string>(),
-                   {Row.at(1).get<unsigned>(), Row.at(2).get<std::uint64_t>(),
-                    Row.at(3).get<std::uint64_t>()}});
+    Out.push_back(
+        {Row.at(0).get<std::string>(),
+         {Row.at(1).get<unsigned>(), Row.at(2).get<std::uint64_t>(),
+          Row.at(3).get<std::uint64_t>(), Row.at(4).get<std::uint64_t>()}});
   return Out;
 }
 
@@ -50,14 +52,21 @@
   Out["l"] = loadsJson(R.m_loads);
   if (R.m_leaderToken != 0)
     Out["k"] = R.m_leaderToken;
-  if (!R.m_fleetLoads.empty())
-    Out["f"] = loadsJson(R.m_fleetLoads);
-  Json &Demands = Out["d"] = Json::array();
-  for (const PeerModelDemand &D : R.m_demands)
-    Demands.push_back(
-        Json::array({D.m_model, static_cast<unsigned>(D.m_demand.m_running),
-                     static_cast<unsigned>(D.m_demand.m_waiting),
-                     static_cast<unsigned>(D.m_demand.m_arrivals * 100)}));
+  if (R.m_partial)
+    Out["p"] = true;
+  if (!R.m_domainLoads.empty()) {
+    Json &Sums = Out["f"] = Json::object();
+    for (const auto &[Domain, Loads] : R.m_domainLoads)
+      Sums[Domain] = loadsJson(Loads);
+  }
+  if (!R.m_demands.empty()) {
+    Json &Demands = Out["d"] = Json::array();
+    for (const PeerModelDemand &D : R.m_demands)
+      Demands.push_back(
+          Json::array({D.m_model, static_cast<unsigned>(D.m_demand.m_running),
+                       static_cast<unsigned>(D.m_demand.m_waiting),
+                       static_cast<unsigned>(D.m_demand.m_arrivals * 100)}));
+  }
   if (!R.m_wanted.empty()) {
     Json &Wanted = Out["w"] = Json::array();
     for (const PeerWantedAdapter &W : R.m_wanted)
@@ -90,8 +99,11 @@
   In.at("s").get_to(R.m_sequence);
   R.m_loads = loadsFrom(In.at("l"));
   R.m_leaderToken = In.value("k", std::uint64_t{0});
-  R.m_fleetLoads = loadsFrom(In.value("f", Json::array()));
-  for (const Json &Row : In.at("d"))
+  R.m_partial = In.value("p", false);
+  const Json Sums = In.value("f", Json::object());
+  for (auto It = Sums.begin(); It != Sums.end(); ++It)
+    R.m_domainLoads[It.key()] = loadsFrom(It.value());
+  for (const Json &Row : In.value("d", Json::array()))
     R.m_demands.push_back({Row.at(0).get<std::string>(),
                            {Row.at(1).get<double>(), Row.at(2).get<double>(),
                             Row.at(3).get<double>() / 100}});
--- a/src/libgateway/peerreport.h
+++ b/src/libgateway/peerreport.h
@@ -10,6 +10,7 @@
 #include "primroseworks/error.h"
 
 #include <algorithm>
+#include <map>
 #include <string>
 #include <vector>
 
@@ -51,8 +52,11 @@
   /// Fencing token of the sender if it leads, otherwise 0.
   std::uint64_t m_leaderToken = 0;
   std::vector<PeerEndpointLoad> m_loads;
-  /// From the leader of a large fleet: the loads by all gateways.
-  std::vector<PeerEndpointLoad> m_fleetLoads;
+  /// Tells only the loads that changed; the others stay as last told.
+  bool m_partial = false;
+  /// From the leader of a large fleet: sums over the gateways of each failure
+  /// domain.
+  std::map<std::string, std::vector<PeerEndpointLoad>> m_domainLoads;
   std::vector<PeerModelDemand> m_demands;
   std::vector<PeerWantedAdapter> m_wanted;
   std::vector<ArtifactName> m_usedAdapters; ///< Asked for since the last one.
@@ -65,6 +69,9 @@
 /// Pause for each gateway of the fleet, which bounds what a leader receives to
 /// 250 reports a second.
 inline constexpr Milliseconds ReportPausePerMember{4};
+/// Pause between two tellings of the sums by the leader of a large fleet, in
+/// report pauses.
+inline constexpr int ReportsPerSum = 3;
 /// Reports without which the sender's loads and demands no longer count.
 inline constexpr int ReportsMissed = 4;
 /// What a report tells counts this long, at least.
--- a/src/libgateway/peers.cpp
+++ b/src/libgateway/peers.cpp
@@ -7,6 +7,22 @@
 
 namespace primroseworks::gateway {
 
+namespace {
+
+/// Stands among the peers for the gateways of another failure domain.
+std::string domainPeer(const std::string &Domain) { return "domain/" + Domain; }
+
+} // namespace
+
+Peers::Peers(Core &Shared)
+    : m_core(Shared), m_socket(Shared.m_io),
+      m_audience(Shared.m_settings.m_vm, Shared.m_settings.m_failureDomain),
+      m_loadNotice(Shared.m_io) {
+  m_core.m_onLoadChanged = [this](const std::string &Endpoint) {
+    onLoadChanged(Endpoint);
+  };
+}
+
 Result<void> Peers::open() {
   std::error_code Ec;
   const auto Ip = asio::ip::make_address(m_core.m_settings.m_address, Ec);
@@ -33,11 +49,8 @@
 }
 
 void Peers::setMembers(std::vector<Member> Members) {
-  m_members.clear();
-  for (Member &M : Members)
-    if (M.m_name != m_core.m_settings.m_vm)
-      m_members.push_back(std::move(M));
-  m_core.m_members = static_cast<unsigned>(m_members.size() + 1);
+  m_audience.setMembers(std::move(Members));
+  m_core.m_members = static_cast<unsigned>(m_audience.members().size() + 1);
 }
 
 void Peers::setLeader(const std::string &Name, std::uint64_t Token) {
@@ -47,31 +60,51 @@
   m_leaderToken = Token;
 }
 
-bool Peers::hasFleetLoads(TimePoint Now) const {
-  return m_fleetLoadsAt != TimePoint{} &&
-         Now - m_fleetLoadsAt < reportLifetime(m_core.m_members);
+bool Peers::hasSums(TimePoint Now) const {
+  return m_sumsAt != TimePoint{} &&
+         Now - m_sumsAt < ReportsPerSum * reportLifetime(m_core.m_members);
 }
 
-std::vector<PeerEndpointLoad> Peers::fleetLoads() const {
-  std::vector<PeerEndpointLoad> Out;
+/// Sums of what the gateways of each failure domain told. Prompts not yet read
+/// are left out: they are read long before the sums arrive.
+std::map<std::string, std::vector<PeerEndpointLoad>>
+Peers::domainLoads() const {
+  std::map<std::string, std::map<std::string, EndpointLoad>> Sums;
   for (const auto &[Id, E] : m_core.m_endpoints.all()) {
-    const EndpointLoad Sum = E.load();
-    if (Sum.m_requests > 0)
-      Out.push_back({Id, Sum});
+    if (E.m_own.m_requests > 0)
+      Sums[m_core.m_settings.m_failureDomain][Id] += E.m_own;
+    for (const auto &[Name, Peer] : E.m_peers)
+      if (Peer.m_load.m_requests > 0)
+        Sums[m_audience.domainOf(Name)][Id] += Peer.m_load;
   }
+  std::map<std::string, std::vector<PeerEndpointLoad>> Out;
+  for (auto &[Domain, Loads] : Sums)
+    for (auto &[Id, Load] : Loads) {
+      Load.m_unreadTokens = 0;
+      Out[Domain].push_back({Id, Load});
+    }
   return Out;
 }
 
-PeerReport Peers::ownReport(std::uint64_t LeaderToken, TimePoint Now) {
-  const bool IsLeader = LeaderToken != 0;
+PeerReport Peers::emptyReport(std::uint64_t LeaderToken) {
   PeerReport R;
   R.m_leaderToken = LeaderToken;
   R.m_sender = m_core.m_settings.m_vm;
   R.m_start = m_start;
   R.m_sequence = ++m_sequence;
+  return R;
+}
+
+PeerHolding Peers::holding(const Endpoint &E) const {
+  return {E.m_record.m_id, E.m_record.m_incarnation, E.m_orders.value_or(0),
+          E.m_held};
+}
+
+PeerReport Peers::ownReport(std::uint64_t LeaderToken, TimePoint Now) {
+  PeerReport R = emptyReport(LeaderToken);
   for (const auto &[Id, E] : m_core.m_endpoints.all())
     if (E.m_own.m_requests > 0)
-      R.m_loads.push_back({Id, E.m_own});
+      R.m_loads.push_back({Id, E.ownLoad(Now)});
   m_core.m_demand.fill(R, m_core.m_queue);
   for (const auto &[Fingerprint, Crash] : m_core.m_suspects.take())
     m_strikes.push_back({{Fingerprint, Crash}, Now});
@@ -81,38 +114,16 @@
     R.m_strikes.push_back(S.m_strike);
   for (auto It = m_changed.begin(); It != m_changed.end();) {
     const Endpoint *E = m_core.m_endpoints.find(It->first);
-    if (!E || !IsLeader || Now - It->second > HoldingRepeat) {
+    if (!E || LeaderToken == 0 || Now - It->second > HoldingRepeat) {
       It = m_changed.erase(It);
       continue;
     }
-    R.m_holdings.push_back({It->first, E->m_record.m_incarnation,
-                            E->m_orders.value_or(0), E->m_held});
+    R.m_holdings.push_back(holding(*E));
     ++It;
   }
   return R;
 }
 
-std::vector<const Member *> Peers::receivers(bool IsLeader, TimePoint Now) {
-  std::vector<const Member *> Out;
-  if (IsLeader || !isLarge()) {
-    for (const Member &M : m_members)
-      Out.push_back(&M);
-    return Out;
-  }
-  for (const Member &M : m_members)
-    if (M.m_name == m_leader)
-      Out.push_back(&M);
-  if (!Out.empty() && hasFleetLoads(Now))
-    return Out;
-  for (std::size_t I = 0; I < m_members.size() && Out.size() < ReportReceivers;
-       ++I) {
-    const Member &M = m_members[m_turn++ % m_members.size()];
-    if (M.m_name != m_leader)
-      Out.push_back(&M);
-  }
-  return Out;
-}
-
 void Peers::sendBytes(const std::string &Bytes, const Member &To) {
   std::error_code Ec;
   const auto Ip = asio::ip::make_address(To.m_address, Ec);
@@ -127,59 +138,138 @@
     m_bytesSent += Bytes.size();
 }
 
+void Peers::sendTo(const PeerReport &Report,
+                   const std::vector<const Member *> &To) {
+  if (To.empty())
+    return;
+  const std::string Bytes = encodePeerReport(Report);
+  for (const Member *M : To)
+    sendBytes(Bytes, *M);
+}
+
 void Peers::send(std::uint64_t LeaderToken, TimePoint Now) {
   PeerReport Report = ownReport(LeaderToken, Now);
   m_core.m_fleetDemand.onReport(Report, Now);
-  const bool IsLeader = LeaderToken != 0;
-  if (IsLeader && m_fleetLoadsAt != TimePoint{}) {
+  m_changedLoads.clear();
+  m_reported.clear();
+  for (const PeerEndpointLoad &L : Report.m_loads)
+    m_reported[L.m_endpoint] = L.m_load;
+  if (LeaderToken == 0 || !m_audience.isLarge()) {
+    sendTo(Report, m_audience.receivers(m_leader, hasSums(Now)));
+    return;
+  }
+  if (m_sumsAt != TimePoint{}) {
     // From now on the members' own reports tell their loads.
-    m_fleetLoadsAt = TimePoint{};
+    m_sumsAt = TimePoint{};
     m_core.m_endpoints.forgetPeers();
   }
-  if (IsLeader && isLarge()) {
-    // The others need the sums alone.
-    Report.m_fleetLoads = fleetLoads();
-    Report.m_loads.clear();
-    Report.m_demands.clear();
-    Report.m_usedAdapters.clear();
+  // Only the leader uses demands.
+  Report.m_demands.clear();
+  Report.m_usedAdapters.clear();
+  if (--m_reportsToSum > 0) {
+    sendTo(Report, m_audience.closeMembers());
+    return;
   }
-  noteReported(Report);
-  const std::string Bytes = encodePeerReport(Report);
-  for (const Member *M : receivers(IsLeader, Now))
-    sendBytes(Bytes, *M);
+  m_reportsToSum = ReportsPerSum;
+  Report.m_domainLoads = domainLoads();
+  std::vector<const Member *> All;
+  for (const Member &M : m_audience.members())
+    All.push_back(&M);
+  sendTo(Report, All);
 }
 
-void Peers::noteReported(const PeerReport &Report) {
-  m_reported.clear();
-  for (const PeerEndpointLoad &L : Report.m_loads)
-    m_reported[L.m_endpoint] = L.m_load;
+void Peers::announce(std::uint64_t LeaderToken, TimePoint Now) {
+  if (!m_audience.isLarge()) {
+    m_unannounced.clear();
+    send(LeaderToken, Now);
+    return;
+  }
+  PeerReport Report = emptyReport(LeaderToken);
+  Report.m_partial = true;
+  for (const std::string &Id : m_unannounced)
+    if (const Endpoint *E = m_core.m_endpoints.find(Id))
+      Report.m_holdings.push_back(holding(*E));
+  m_unannounced.clear();
+  if (Report.m_holdings.empty())
+    return;
+  std::vector<const Member *> All;
+  for (const Member &M : m_audience.members())
+    All.push_back(&M);
+  sendTo(Report, All);
 }
 
 void Peers::sendToLeader(TimePoint Now) {
   const PeerReport Report = ownReport(0, Now);
-  noteReported(Report);
-  for (const Member &M : m_members)
+  for (const Member &M : m_audience.members())
     if (M.m_name == m_leader)
-      sendBytes(encodePeerReport(Report), M);
+      sendTo(Report, {&M});
 }
 
 void Peers::noteOwn(std::uint64_t LeaderToken, TimePoint Now) {
   m_core.m_fleetDemand.onReport(ownReport(LeaderToken, Now), Now);
 }
 
-/// The sums include what this VM last told the leader, which it knows better.
-void Peers::applyFleetLoads(const PeerReport &Report, TimePoint Now) {
-  m_fleetLoadsAt = Now;
-  m_core.m_endpoints.forgetPeers();
-  for (const PeerEndpointLoad &L : Report.m_fleetLoads) {
-    const auto Own = m_reported.find(L.m_endpoint);
-    m_core.m_endpoints.onPeerLoad(
-        Report.m_sender, L.m_endpoint,
-        Own == m_reported.end() ? L.m_load : L.m_load.without(Own->second),
-        Now);
+void Peers::onLoadChanged(const std::string &Endpoint) {
+  m_changedLoads.insert(Endpoint);
+  if (m_loadNoticeDue)
+    return;
+  m_loadNoticeDue = true;
+  m_loadNotice.expires_after(LoadNoticePause);
+  m_loadNotice.async_wait([this](std::error_code Ec) {
+    if (Ec)
+      return;
+    m_loadNoticeDue = false;
+    sendChangedLoads(std::chrono::steady_clock::now());
+  });
+}
+
+/// Tells close gateways the loads that changed: a report would come after the
+/// prompts are read.
+void Peers::sendChangedLoads(TimePoint Now) {
+  if (m_changedLoads.empty())
+    return;
+  PeerReport Report = emptyReport(0);
+  Report.m_partial = true;
+  for (const std::string &Id : m_changedLoads)
+    if (const Endpoint *E = m_core.m_endpoints.find(Id))
+      Report.m_loads.push_back({Id, E->ownLoad(Now)});
+  m_changedLoads.clear();
+  sendTo(Report, m_audience.closeMembers());
+}
+
+/// Sums of failure domains whose gateways do not tell their loads directly.
+void Peers::applyDomainLoads(const PeerReport &Report, TimePoint Now) {
+  m_sumsAt = Now;
+  for (const auto &[Domain, Region] : m_core.m_settings.m_regions)
+    m_core.m_endpoints.forgetPeer(domainPeer(Domain));
+  for (const auto &[Domain, Loads] : Report.m_domainLoads) {
+    const bool Own = Domain == m_core.m_settings.m_failureDomain;
+    if (Own && m_audience.domainIsClose())
+      continue;
+    for (const PeerEndpointLoad &L : Loads) {
+      // The own domain's sums include what this VM told.
+      const auto Told = m_reported.find(L.m_endpoint);
+      m_core.m_endpoints.onPeerLoad(
+          domainPeer(Domain), L.m_endpoint,
+          Own && Told != m_reported.end() ? L.m_load.without(Told->second)
+                                          : L.m_load,
+          Now + ReportsPerSum * reportLifetime(m_core.m_members));
+    }
   }
 }
 
+void Peers::applyLoads(const PeerReport &Report, TimePoint Now) {
+  if (!Report.m_domainLoads.empty())
+    applyDomainLoads(Report, Now);
+  if (hasSums(Now) && !m_audience.isClose(Report.m_sender))
+    return; // The sums include these loads.
+  if (!Report.m_partial)
+    m_core.m_endpoints.forgetPeer(Report.m_sender);
+  for (const PeerEndpointLoad &L : Report.m_loads)
+    m_core.m_endpoints.onPeerLoad(Report.m_sender, L.m_endpoint, L.m_load,
+                                  Now + reportLifetime(m_core.m_members));
+}
+
 void Peers::apply(const PeerReport &Report, TimePoint Now) {
   Position &P = m_positions[Report.m_sender];
   if (Report.m_start < P.m_start ||
@@ -188,23 +278,16 @@
   P = Position{Report.m_start, Report.m_sequence};
   if (Report.m_leaderToken > m_leaderToken)
     setLeader(Report.m_sender, Report.m_leaderToken);
-  if (!Report.m_fleetLoads.empty()) {
-    applyFleetLoads(Report, Now);
-  } else if (!hasFleetLoads(Now)) {
-    // Otherwise the sums include these loads.
-    m_core.m_endpoints.forgetPeer(Report.m_sender);
-    for (const PeerEndpointLoad &L : Report.m_loads)
-      m_core.m_endpoints.onPeerLoad(Report.m_sender, L.m_endpoint, L.m_load,
-                                    Now);
-  }
+  applyLoads(Report, Now);
   for (const PeerHolding &H : Report.m_holdings)
     m_core.m_endpoints.onAnnounced(H.m_endpoint, H.m_incarnation, H.m_orders,
                                    H.m_held, Now);
   for (const PeerStrike &S : Report.m_strikes)
     m_core.m_suspects.addFromPeer(S.m_fingerprint, S.m_crash, Now);
-  m_core.m_fleetDemand.onReport(Report, Now);
+  if (!Report.m_partial)
+    m_core.m_fleetDemand.onReport(Report, Now);
   const bool LoadsTold =
-      !Report.m_loads.empty() || !Report.m_fleetLoads.empty();
+      !Report.m_loads.empty() || !Report.m_domainLoads.empty();
   if (!Report.m_holdings.empty() ||
       (LoadsTold && Now - m_placedAt >= PlacePause)) {
     m_placedAt = Now;
--- a/src/libgateway/peers.h
+++ b/src/libgateway/peers.h
@@ -5,32 +5,27 @@
 #define PRIMROSEWORKS_LIBGATEWAY_PEERS_H
 
 #include "libgateway/core.h"
+#include "libgateway/peeraudience.h"
 #include "libgateway/peerreport.h"
 
 #include <asio/awaitable.hpp>
 #include <asio/ip/udp.hpp>
 #include <functional>
 #include <map>
+#include <set>
 #include <string>
 
 namespace primroseworks::gateway {
 
-/// A gateway as its key in the store describes it.
-struct Member {
-  std::string m_name;
-  std::string m_address; ///< IP; the port is the same for all.
-  std::string m_failureDomain;
-};
-
-/// Receivers of one report, at most. In a fleet of no more gateways each
-/// reports to all others. In a larger one each reports to the leader, which
-/// tells all of them the sums; while no sums come, each reports to the leader
-/// and to the others in turn. So the bytes grow with the fleet's size and not
-/// with its square.
-inline constexpr std::size_t ReportReceivers = 10;
 /// The leader repeats what an engine holds for this long after a change.
 inline constexpr Milliseconds HoldingRepeat{2500};
 
+/// Changes of loads within this time share one datagram.
+inline constexpr Milliseconds LoadNoticePause{4};
+/// Changes of what engines hold within this time share one datagram, in a small
+/// and in a large fleet.
+inline constexpr Milliseconds AnnouncePause{3};
+inline constexpr Milliseconds LargeAnnouncePause{60};
 /// Pause between two tries to place waiting requests because of reports.
 inline constexpr Milliseconds PlacePause{10};
 /// A crash is told for this long, so that a lost datagram does not hide it.
@@ -38,7 +33,7 @@
 
 class Peers {
 public:
-  explicit Peers(Core &Shared) : m_core(Shared), m_socket(Shared.m_io) {}
+  explicit Peers(Core &Shared);
   /// Binds the port. Fails with Unavailable if it is taken.
   Result<void> open();
   /// Receives reports until the socket is closed.
@@ -50,6 +45,13 @@
   /// What an engine holds has changed by an order of this VM.
   void onHoldingChanged(const std::string &Endpoint, TimePoint Now) {
     m_changed[Endpoint] = Now;
+    m_unannounced.insert(Endpoint);
+  }
+  /// Tells what engines hold as far as that has changed since it was last told.
+  void announce(std::uint64_t LeaderToken, TimePoint Now);
+  /// Time for which changes are gathered before they are announced.
+  Duration announcePause() const {
+    return m_audience.isLarge() ? LargeAnnouncePause : AnnouncePause;
   }
   /// Sends a report to the receivers whose turn it is. LeaderToken: this VM's
   /// fencing token, 0 if it does not lead.
@@ -67,24 +69,30 @@
 private:
   PeerReport ownReport(std::uint64_t LeaderToken, TimePoint Now);
   void apply(const PeerReport &Report, TimePoint Now);
-  void noteReported(const PeerReport &Report);
-  void applyFleetLoads(const PeerReport &Report, TimePoint Now);
-  std::vector<PeerEndpointLoad> fleetLoads() const;
-  std::vector<const Member *> receivers(bool IsLeader, TimePoint Now);
-  bool isLarge() const { return m_members.size() > ReportReceivers; }
-  bool hasFleetLoads(TimePoint Now) const;
+  void onLoadChanged(const std::string &Endpoint);
+  void sendChangedLoads(TimePoint Now);
+  void applyLoads(const PeerReport &Report, TimePoint Now);
+  void applyDomainLoads(const PeerReport &Report, TimePoint Now);
+  std::map<std::string, std::vector<PeerEndpointLoad>> domainLoads() const;
+  PeerReport emptyReport(std::uint64_t LeaderToken);
+  PeerHolding holding(const Endpoint &E) const;
+  bool hasSums(TimePoint Now) const;
   void sendBytes(const std::string &Bytes, const Member &To);
-
+  void sendTo(const PeerReport &Report, const std::vector<const Member *> &To);
   Core &m_core;
   asio::ip::udp::socket m_socket;
-  std::vector<Member> m_members; ///< Without this one.
+  PeerAudience m_audience;
   std::string m_leader;
   std::uint64_t m_leaderToken = 0; ///< Of the newest leader heard of.
-  std::size_t m_turn = 0;          ///< Next of m_members to get a report.
+  int m_reportsToSum = 0;          ///< Until this leader tells the sums.
   TimePoint m_placedAt{};          ///< When a report last placed requests.
-  TimePoint m_fleetLoadsAt{};      ///< When the leader last told the sums.
+  TimePoint m_sumsAt{};            ///< When the leader last told the sums.
   /// Own loads as the leader was last told.
   std::map<std::string, EndpointLoad> m_reported;
+  std::set<std::string> m_changedLoads; ///< Endpoints, not told yet.
+  asio::steady_timer m_loadNotice;
+  bool m_loadNoticeDue = false;
+  std::set<std::string> m_unannounced; ///< Engines whose holdings changed.
   std::uint64_t m_start = 0;
   std::uint64_t m_sequence = 0;
   std::uint64_t m_bytesSent = 0;
--- a/src/libgateway/retrywindow.cpp
+++ b/src/libgateway/retrywindow.cpp
@@ -20,7 +20,7 @@
 
 void RetryWindow::onRequest(TimePoint Now) { ++bucket(Now).m_requests; }
 
-bool RetryWindow::take(unsigned Members, TimePoint Now) {
+bool RetryWindow::allows(unsigned Members, TimePoint Now) const {
   const std::int64_t Newest = indexOf(Now);
   double Requests = 0;
   double Repeats = 0;
@@ -33,7 +33,11 @@
   }
   double Allowed = RetryLimitMargin * (m_limit.m_share * Requests +
                                        m_limit.m_extra / std::max(1U, Members));
-  if (Repeats + 1 > Allowed)
+  return Repeats + 1 <= Allowed;
+}
+
+bool RetryWindow::take(unsigned Members, TimePoint Now) {
+  if (!allows(Members, Now))
     return false;
   ++bucket(Now).m_repeats;
   return true;
--- a/src/libgateway/retrywindow.h
+++ b/src/libgateway/retrywindow.h
@@ -27,6 +27,8 @@
 public:
   explicit RetryWindow(RetryLimit Limit) : m_limit(Limit) {}
   void onRequest(TimePoint Now);
+  /// Whether the limit allows one more repeat.
+  bool allows(unsigned Members, TimePoint Now) const;
   /// Counts one repeat if the limit allows it; Members is the number of VMs
   /// that share the extra repeats.
   bool take(unsigned Members, TimePoint Now);
--- a/src/libgateway/store.h
+++ b/src/libgateway/store.h
@@ -18,6 +18,7 @@
   std::string m_key;
   std::string m_value;
   std::uint64_t m_revision = 0;
+  std::uint64_t m_lease = 0; ///< 0: the key stays.
 };
 
 /// Items under a prefix, and the store's revision to watch from. The pages of
@@ -32,6 +33,7 @@
   std::string m_key;
   std::optional<std::string> m_value;
   std::uint64_t m_revision = 0;
+  std::uint64_t m_lease = 0; ///< As in StoreItem.
 };
 
 struct StoreChanges {
