soak: a fault soak of real gateway processes against stand-ins that speak the wire

Change: testsuite/soak plays seeds: gateways as processes that are killed, paused, stopped and told to reload; store and endpoint links through a proxy that delays, cuts one way, silences or resets; a store that is busy, silent, slow, loses answers, forgets its history or takes keys away; endpoints that crash, drain, refuse, lose, cut and stall answers; configurations in between. After the faults: recovery, a new route at every gateway, a drain, a rolling stop without a cut request.

--- /dev/null
+++ b/testsuite/soak/gatewayprocess.h
@@ -0,0 +1,58 @@
+// A real primrose-gateway process, started and signalled by its id.
+#ifndef PRIMROSE_SOAK_GATEWAYPROCESS_H
+#define PRIMROSE_SOAK_GATEWAYPROCESS_H
+
+#include <chrono>
+#include <string>
+#include <sys/types.h>
+
+namespace primroseworks::soak {
+
+struct GatewaySetup {
+  std::string m_program; ///< Path of primrose-gateway.
+  std::string m_folder;  ///< For its settings and its log.
+  std::string m_name;
+  std::string m_ip;
+  std::string m_domain;
+  std::string m_store; ///< "IP:PORT" of its way to the store.
+};
+
+/// How an ended process ended.
+enum class ProcessEnd { Running, Clean, Killed, Failed };
+
+class GatewayProcess {
+public:
+  static constexpr int CallerPort = 18601;
+  static constexpr int ReadyPort = 18602;
+
+  explicit GatewayProcess(GatewaySetup Setup) : m_setup(std::move(Setup)) {}
+  ~GatewayProcess();
+  GatewayProcess(const GatewayProcess &) = delete;
+  GatewayProcess &operator=(const GatewayProcess &) = delete;
+
+  void start();
+  /// Sends a signal to this process, and to no other; nothing if it has ended.
+  void signal(int Number);
+  /// Looks whether it has ended; call it often.
+  ProcessEnd poll();
+  bool running() const { return m_pid > 0; }
+  const std::string &name() const { return m_setup.m_name; }
+  std::string callerAddress() const {
+    return m_setup.m_ip + ':' + std::to_string(CallerPort);
+  }
+  /// What is known of its end, for a report.
+  const std::string &endText() const { return m_endText; }
+
+  bool m_stopping = false; ///< SIGTERM was sent to this run.
+  bool m_paused = false;   ///< SIGSTOP was sent last.
+
+private:
+  GatewaySetup m_setup;
+  pid_t m_pid = -1;
+  bool m_killed = false; ///< SIGKILL was sent to this run.
+  std::string m_endText;
+};
+
+} // namespace primroseworks::soak
+
+#endif
--- /dev/null
+++ b/testsuite/soak/soak.cpp
@@ -0,0 +1,396 @@
+// Faults and phases of the soak.
+#include "soak.h"
+
+#include "libgateway/connections.h"
+
+#include <asio/co_spawn.hpp>
+#include <asio/detached.hpp>
+#include <asio/redirect_error.hpp>
+#include <asio/steady_timer.hpp>
+#include <asio/use_awaitable.hpp>
+#include <csignal>
+#include <filesystem>
+#include <fmt/format.h>
+#include <iostream>
+
+#if defined(__GNUC__) && !defined(__clang__)
+// g++ 12 inlines one half of Asio's pair of allocation functions for coroutine
+// frames and takes the other for a foreign one.
+#pragma GCC diagnostic ignored "-Wmismatched-new-delete"
+#endif
+
+namespace primroseworks::soak {
+
+namespace {
+
+using namespace platform::testing;
+namespace wire = platform::wire;
+using std::chrono::milliseconds;
+
+constexpr milliseconds RestartPause{300};
+/// Bounds of the users' deployments.
+constexpr milliseconds DrainLimit{2500};
+constexpr milliseconds ConfigurationLimit{2500};
+constexpr milliseconds StopLimit{8000};
+constexpr milliseconds RecoverLimit{12000};
+/// Part of the requests that must succeed once all faults are over.
+constexpr double ServedShare = 0.95;
+constexpr milliseconds ServedSpan{1500};
+/// Entries of servers come back within this time after an outage.
+constexpr milliseconds EntryPause{2000};
+
+} // namespace
+
+Soak::Soak(SoakOptions Options)
+    : m_options(std::move(Options)), m_random(m_options.m_seed), m_store(m_io) {
+  std::filesystem::create_directories(m_options.m_folder);
+  const std::string Net =
+      fmt::format("127.{}.{}.", 16 + m_options.m_subnet % 200,
+                  m_options.m_subnet / 200 % 250);
+  m_store.open(Net + "200");
+  m_store.put(wire::ConfigurationKey, soakConfiguration(m_version, 0));
+  const std::vector<std::vector<std::string>> Held = {
+      {}, {}, {}, {"m1", "m2"}, {"m1"}, {"m2", "m3"}, {"m1", "m3"}};
+  for (unsigned I = 0; I < Held.size(); ++I) {
+    const EngineSetup Setup{Held[I].empty() ? "plain" : "model",
+                            'd' + std::to_string(1 + I % 3), Held[I], I};
+    const auto OnRun = [this](const std::string &Id, const std::string &At,
+                              bool Draining) {
+      m_check.onRun(Id, At);
+      if (Draining && m_drainOver)
+        m_check.violation(Id + " ran at " + At + ", which drains");
+    };
+    m_engines.push_back(std::make_unique<EngineStandin>(
+        m_io, m_store, Setup, OnRun, m_options.m_seed * 100 + I));
+    m_engines.back()->open(Net + "200");
+    m_engineLinks.push_back(std::make_unique<Proxy>(
+        m_io, Net + "200", m_engines.back()->address()));
+    m_engines.back()->start(m_engineLinks.back()->address());
+  }
+  for (unsigned I = 0; I < m_options.m_gateways; ++I) {
+    m_storeLinks.push_back(
+        std::make_unique<Proxy>(m_io, Net + "200", m_store.address()));
+    m_gateways.push_back(std::make_unique<GatewayProcess>(GatewaySetup{
+        m_options.m_program, m_options.m_folder, "vm-" + std::to_string(I + 1),
+        Net + std::to_string(I + 1), 'd' + std::to_string(1 + I % 3),
+        m_storeLinks.back()->address()}));
+  }
+  m_callers = std::make_unique<Callers>(m_io, m_check, m_gateways,
+                                        m_options.m_seed + 7);
+}
+
+void Soak::note(const std::string &Text) {
+  if (!Text.empty())
+    std::cout << "  " << Text << std::endl;
+}
+
+void Soak::start(asio::awaitable<void> Task) {
+  asio::co_spawn(m_io, std::move(Task), asio::detached);
+}
+
+asio::awaitable<void> Soak::pause(Milliseconds Time) {
+  asio::steady_timer Timer(m_io, Time);
+  std::error_code Ignored;
+  co_await Timer.async_wait(asio::redirect_error(asio::use_awaitable, Ignored));
+}
+
+asio::awaitable<void> Soak::watchProcesses() {
+  while (!m_done) {
+    for (const auto &P : m_gateways) {
+      const ProcessEnd End = P->poll();
+      if (End == ProcessEnd::Running)
+        continue;
+      if (End == ProcessEnd::Failed)
+        m_check.violation(P->name() + " ended by itself: " + P->endText());
+      if (!m_keepRunning)
+        continue;
+      GatewayProcess *Ended = P.get();
+      start(applyFor([] {}, [Ended] { Ended->start(); }, RestartPause));
+    }
+    co_await pause(Milliseconds(20));
+  }
+}
+
+asio::awaitable<void> Soak::applyFor(std::function<void()> Begin,
+                                     std::function<void()> End,
+                                     Milliseconds Time) {
+  ++m_faultsInForce;
+  Begin();
+  co_await pause(Time);
+  End();
+  --m_faultsInForce;
+}
+
+void Soak::drawProcessFault(GatewayProcess &P, Milliseconds Time) {
+  if (!P.running() || P.m_paused)
+    return;
+  switch (draw(4)) {
+  case 0:
+    note(P.name() + " is killed");
+    P.signal(SIGKILL);
+    break;
+  case 1:
+    note(fmt::format("{} stands still for {} ms", P.name(), Time.count()));
+    start(applyFor([&P] { P.signal(SIGSTOP); }, [&P] { P.signal(SIGCONT); },
+                   Time));
+    break;
+  case 2:
+    note(P.name() + " is told to stop");
+    P.signal(SIGTERM);
+    break;
+  default:
+    note(P.name() + " gets SIGHUP");
+    P.signal(SIGHUP);
+  }
+}
+
+void Soak::drawStoreFault(Milliseconds Time) {
+  static const std::pair<StoreFault, const char *> Kinds[] = {
+      {StoreFault::Busy, "busy"},
+      {StoreFault::Silent, "silent"},
+      {StoreFault::Slow, "slow"},
+      {StoreFault::LosesAnswers, "losing answers"}};
+  const unsigned Kind = draw(6);
+  if (Kind >= std::size(Kinds)) {
+    if (Kind == 4) {
+      note("the store forgets its history");
+      m_store.compact();
+      return;
+    }
+    note("the store takes the gateways' keys away");
+    m_store.removePrefix("primrose/");
+    return;
+  }
+  if (m_store.fault() != StoreFault::None)
+    return;
+  note(fmt::format("the store is {} for {} ms", Kinds[Kind].second,
+                   Time.count()));
+  const StoreFault Fault = Kinds[Kind].first;
+  start(applyFor([this, Fault] { m_store.setFault(Fault); },
+                 [this] { m_store.setFault(StoreFault::None); }, Time));
+}
+
+void Soak::drawEngineFault(EngineStandin &E, Milliseconds Time) {
+  const unsigned Kind = draw(6);
+  if (Kind == 0) {
+    note(E.id() + " crashes");
+    start(applyFor([&E] { E.crash(); },
+                   [&E] {
+                     E.removeEntry();
+                     E.restart();
+                   },
+                   Time));
+    return;
+  }
+  if (Kind == 1) {
+    note(E.id() + " drains");
+    start(applyFor([&E] { E.drain(); },
+                   [&E] {
+                     E.crash();
+                     E.removeEntry();
+                     E.restart();
+                   },
+                   DrainLimit + Time));
+    return;
+  }
+  EngineFaults F;
+  (Kind == 2   ? F.m_refuses
+   : Kind == 3 ? F.m_losesAnswer
+   : Kind == 4 ? F.m_cutsAnswer
+               : F.m_stalls) = 0.3;
+  note(fmt::format("{} fails in part (kind {}) for {} ms", E.id(), Kind,
+                   Time.count()));
+  start(applyFor([&E, F] { E.m_faults = F; },
+                 [&E] { E.m_faults = EngineFaults(); }, Time));
+}
+
+void Soak::drawLinkFault(Proxy &P, Milliseconds Time) {
+  static const std::pair<LinkState, const char *> Kinds[] = {
+      {LinkState::Delayed, "delayed"},
+      {LinkState::OneWay, "cut one way"},
+      {LinkState::Silent, "silent"},
+      {LinkState::OldSilent, "silent on open connections"}};
+  const unsigned Kind = draw(5);
+  if (Kind == std::size(Kinds)) {
+    note("the link at " + P.address() + " is reset");
+    P.reset();
+    return;
+  }
+  note(fmt::format("the link at {} is {} for {} ms", P.address(),
+                   Kinds[Kind].second, Time.count()));
+  const LinkState State = Kinds[Kind].first;
+  start(applyFor([&P, State] { P.setState(State); },
+                 [&P] { P.setState(LinkState::Up); }, Time));
+}
+
+void Soak::changeConfiguration() {
+  m_version += 1 + draw(5);
+  m_extraRoutes += draw(2);
+  note(fmt::format("configuration {} with {} more routes", m_version,
+                   m_extraRoutes));
+  m_store.put(wire::ConfigurationKey,
+              soakConfiguration(m_version, m_extraRoutes));
+}
+
+void Soak::drawFault() {
+  const Milliseconds Time(200 + draw(3000));
+  switch (draw(6)) {
+  case 0:
+  case 1:
+    drawProcessFault(*m_gateways[draw(m_options.m_gateways)], Time);
+    break;
+  case 2:
+    drawStoreFault(Time);
+    break;
+  case 3:
+    drawEngineFault(*m_engines[draw(static_cast<unsigned>(m_engines.size()))],
+                    Time);
+    break;
+  case 4:
+    if (draw(2) == 0)
+      drawLinkFault(*m_storeLinks[draw(m_options.m_gateways)], Time);
+    else
+      drawLinkFault(
+          *m_engineLinks[draw(static_cast<unsigned>(m_engineLinks.size()))],
+          Time);
+    break;
+  default:
+    changeConfiguration();
+  }
+}
+
+asio::awaitable<void> Soak::injectFaults() {
+  const auto End = Clock::now() + m_options.m_faultTime;
+  while (Clock::now() < End) {
+    // Some faults come at once, some in series.
+    const unsigned Together = draw(4) == 0 ? 3 : 1;
+    for (unsigned I = 0; I < Together; ++I)
+      drawFault();
+    co_await pause(Milliseconds(100 + draw(900)));
+  }
+  while (m_faultsInForce > 0)
+    co_await pause(Milliseconds(20));
+}
+
+asio::awaitable<void> Soak::checkRecovery() {
+  const auto Begin = Clock::now();
+  std::pair<unsigned, unsigned> Last;
+  while (Clock::now() - Begin < RecoverLimit) {
+    (void)m_check.takeEnded();
+    co_await pause(ServedSpan);
+    Last = m_check.takeEnded();
+    if (Last.first > 0 && Last.second >= ServedShare * Last.first) {
+      note(fmt::format(
+          "served again after {:.1f} s",
+          std::chrono::duration<double>(Clock::now() - Begin).count()));
+      co_return;
+    }
+  }
+  m_check.violation(fmt::format("no recovery: {} of {} attempts succeed",
+                                Last.second, Last.first));
+}
+
+/// A new route works, and stays, at every gateway.
+asio::awaitable<void> Soak::checkConfiguration() {
+  m_extraRoutes += 1;
+  m_version += 1;
+  m_store.put(wire::ConfigurationKey,
+              soakConfiguration(m_version, m_extraRoutes));
+  co_await pause(ConfigurationLimit);
+  const std::string Path = "/extra" + std::to_string(m_extraRoutes - 1) + "/x";
+  for (const auto &P : m_gateways) {
+    const std::string Address = P->callerAddress();
+    const unsigned Status = co_await m_callers->probe(Address, Path);
+    if (Status == 404 || Status == 0)
+      m_check.violation(
+          fmt::format("{} answers {} on a route of configuration {}", P->name(),
+                      Status, m_version));
+  }
+}
+
+/// An endpoint that drains gets nothing new after the limit.
+asio::awaitable<void> Soak::checkDrain() {
+  EngineStandin &E = *m_engines[draw(3)];
+  E.drain();
+  co_await pause(DrainLimit);
+  m_drainOver = true;
+  co_await pause(Milliseconds(700));
+  m_drainOver = false;
+  E.crash();
+  E.removeEntry();
+  E.restart();
+}
+
+/// Every gateway stops and starts again while callers go on.
+asio::awaitable<void> Soak::checkRollingStop() {
+  for (const auto &P : m_gateways) {
+    P->signal(SIGTERM);
+    const auto Begin = Clock::now();
+    while (P->m_stopping && Clock::now() - Begin < StopLimit)
+      co_await pause(Milliseconds(20));
+    if (P->m_stopping)
+      m_check.violation(P->name() + " did not stop in time");
+    co_await pause(Milliseconds(600));
+  }
+}
+
+asio::awaitable<void> Soak::play() {
+  for (const auto &P : m_gateways)
+    P->start();
+  start(watchProcesses());
+  co_await pause(Milliseconds(1500));
+  m_callers->start(m_options.m_callers);
+  co_await pause(Milliseconds(1000));
+  co_await injectFaults();
+  note("all faults are over");
+  co_await checkRecovery();
+  m_callers->m_calm = true;
+  co_await checkConfiguration();
+  co_await checkDrain();
+  co_await checkRollingStop();
+  m_callers->m_calm = false;
+  m_callers->stop();
+  while (!m_callers->idle())
+    co_await pause(Milliseconds(20));
+  m_keepRunning = false;
+  for (const auto &P : m_gateways)
+    P->signal(SIGTERM);
+  const auto Begin = Clock::now();
+  const auto AnyRunning = [this] {
+    for (const auto &P : m_gateways)
+      if (P->running())
+        return true;
+    return false;
+  };
+  while (AnyRunning() && Clock::now() - Begin < StopLimit)
+    co_await pause(Milliseconds(20));
+  if (AnyRunning())
+    m_check.violation("a gateway did not stop at the end");
+  m_done = true;
+  m_io.stop();
+}
+
+bool Soak::run() {
+  std::cout << "seed " << m_options.m_seed << std::endl;
+  start(play());
+  m_io.run();
+  for (const auto &E : m_engines)
+    if (E->violations() > 0)
+      m_check.violation(E->id() + " was ordered to load without memory for it");
+  m_check.finish();
+  static const std::pair<Verdict, const char *> Names[] = {
+      {Verdict::Success, "served"},   {Verdict::NotRun, "not run"},
+      {Verdict::Failure, "failed"},   {Verdict::Cut, "cut"},
+      {Verdict::NotSent, "not sent"}, {Verdict::TimedOut, "timed out"}};
+  auto Counts = m_check.counts();
+  std::string Line;
+  for (const auto &[V, Name] : Names)
+    Line += fmt::format(", {} {}", Counts[V], Name);
+  std::cout << "  " << m_check.sent() << " attempts" << Line << ", "
+            << m_store.calls() << " store calls" << std::endl;
+  for (const std::string &V : m_check.violations())
+    std::cout << "  BROKEN " << V << std::endl;
+  return m_check.violations().empty();
+}
+
+} // namespace primroseworks::soak
--- /dev/null
+++ b/testsuite/soak/soak.h
@@ -0,0 +1,86 @@
+// A run of the soak: stand-ins in this process, gateways as processes, faults
+// drawn from a seed, and the promises checked meanwhile.
+#ifndef PRIMROSE_SOAK_SOAK_H
+#define PRIMROSE_SOAK_SOAK_H
+
+#include "callers.h"
+#include "checker.h"
+#include "gatewayprocess.h"
+#include "platform/enginestandin_fake.h"
+#include "platform/storestandin_fake.h"
+#include "proxy.h"
+
+#include <asio/io_context.hpp>
+#include <functional>
+#include <memory>
+#include <random>
+#include <string>
+#include <vector>
+
+namespace primroseworks::soak {
+
+using platform::testing::EngineStandin;
+using platform::testing::StoreStandin;
+
+struct SoakOptions {
+  std::string m_program; ///< Path of primrose-gateway.
+  std::string m_folder;  ///< For settings and logs.
+  std::uint64_t m_seed = 1;
+  std::chrono::seconds m_faultTime{12};
+  unsigned m_gateways = 4;
+  unsigned m_callers = 16;
+  unsigned m_subnet = 0; ///< Of 127.0.0.0/8; runs at once differ in it.
+};
+
+class Soak {
+public:
+  explicit Soak(SoakOptions Options);
+  /// Plays the run; true if no promise was broken.
+  bool run();
+
+private:
+  using Milliseconds = std::chrono::milliseconds;
+
+  asio::awaitable<void> play();
+  asio::awaitable<void> watchProcesses();
+  asio::awaitable<void> injectFaults();
+  asio::awaitable<void> applyFor(std::function<void()> Begin,
+                                 std::function<void()> End, Milliseconds Time);
+  asio::awaitable<void> checkRecovery();
+  asio::awaitable<void> checkConfiguration();
+  asio::awaitable<void> checkDrain();
+  asio::awaitable<void> checkRollingStop();
+  asio::awaitable<void> pause(Milliseconds Time);
+
+  void drawFault();
+  void drawProcessFault(GatewayProcess &P, Milliseconds Time);
+  void drawStoreFault(Milliseconds Time);
+  void drawEngineFault(EngineStandin &E, Milliseconds Time);
+  void drawLinkFault(Proxy &P, Milliseconds Time);
+  void changeConfiguration();
+  void start(asio::awaitable<void> Task);
+  unsigned draw(unsigned Below) { return m_random() % Below; }
+  void note(const std::string &Text);
+
+  SoakOptions m_options;
+  std::mt19937_64 m_random;
+  asio::io_context m_io{1};
+  Checker m_check;
+  StoreStandin m_store;
+  std::vector<std::unique_ptr<EngineStandin>> m_engines;
+  std::vector<std::unique_ptr<Proxy>> m_engineLinks; ///< One an engine.
+  std::vector<std::unique_ptr<Proxy>> m_storeLinks;  ///< One a gateway.
+  std::vector<std::unique_ptr<GatewayProcess>> m_gateways;
+  std::unique_ptr<Callers> m_callers;
+  std::uint64_t m_version = 1; ///< Of the configuration.
+  unsigned m_extraRoutes = 0;
+  int m_faultsInForce = 0;
+  bool m_keepRunning = true; ///< Processes that end are started again.
+  bool m_done = false;
+  /// Set while an endpoint that drains must get nothing new.
+  bool m_drainOver = false;
+};
+
+} // namespace primroseworks::soak
+
+#endif
