placement: an adapter in transit keeps its place; fewer calls to the store

A report read while a model loads lists adapters ordered just before as coming, not as held; they were taken out of the beliefs, and another one was loaded in their place. Ruled out: orders on a stale report of a new leader (they carry the expected count and are refused).

--- a/src/libgateway/gateway.cpp
+++ b/src/libgateway/gateway.cpp
@@ -367,7 +367,6 @@
 
 /// Grants and renews the lease, and writes this gateway's key under it.
 asio::awaitable<void> Gateway::holdLease() {
-  const Duration Pause = Duration(m_core.m_settings.m_lease) / RenewalsPerLease;
   while (!m_core.m_stopping) {
     const BootTime SentAt = BootClock::now();
     if (m_claim.lease() == 0) {
@@ -401,7 +400,8 @@
       onStoreAnswer(Written.has_value(), "member");
       m_memberWritten = Written.has_value();
     }
-    co_await sleep(Pause);
+    co_await sleep(Duration(m_core.m_settings.m_lease) /
+                   (m_claim.claimed() ? LeaderRenewals : MemberRenewals));
   }
 }
 
--- a/src/libgateway/gateway.h
+++ b/src/libgateway/gateway.h
@@ -32,8 +32,11 @@
 /// Pause after a failed call to the store: from the first to the longest.
 inline constexpr Milliseconds StoreBackoffMin{100};
 inline constexpr Milliseconds StoreBackoffMax{500};
-/// The lease is renewed this many times within its length.
-inline constexpr int RenewalsPerLease = 4;
+/// The lease is renewed this many times within its length: by the leader, whose
+/// orders end with it, and by the others, whose peers would miss them for a
+/// second.
+inline constexpr int LeaderRenewals = 4;
+inline constexpr int MemberRenewals = 2;
 /// The leader stops ordering this long before its lease ends at the store.
 inline constexpr Milliseconds LeaseMargin{300};
 /// Without contact for this long, entries of endpoints may have lapsed.
--- a/src/libgateway/placementleader.cpp
+++ b/src/libgateway/placementleader.cpp
@@ -258,6 +258,12 @@
                    [&Going](const HeldModel &M) { return M.m_name == Going; }),
                Held.end());
   }
+  // An adapter that was ordered here and is still in transit keeps its place.
+  for (const auto &[Model, Adapter] : R.m_coming) {
+    HeldModel *M = heldIn(Held, Model);
+    if (M && E && E->holds(Model, Adapter))
+      M->m_adapters.insert(Adapter);
+  }
   m_core.m_endpoints.onReport(Id, Incarnation, R.m_orders, Held, clockNow());
   E = m_core.m_endpoints.find(Id);
   co_return E && E->m_orders == R.m_orders && !R.m_busy && R.m_coming.empty();
--- a/src/libgateway/types.h
+++ b/src/libgateway/types.h
@@ -131,7 +131,8 @@
   bool m_busy = false;        ///< An order is in progress.
   std::uint64_t m_orders = 0; ///< Orders accepted since its start.
   std::vector<HeldModel> m_models;
-  std::vector<std::string> m_coming; ///< Adapters in transit, as they name it.
+  /// Adapters in transit, each with its model: they use places already.
+  std::vector<std::pair<std::string, std::string>> m_coming;
 };
 
 /// A part of a prompt that requests may share.
