--- a/testsuite/soak/gatewayprocess.cpp
+++ b/testsuite/soak/gatewayprocess.cpp
@@ -44,6 +44,9 @@
   posix_spawn_file_actions_addopen(&Actions, 1, Log.c_str(),
                                    O_WRONLY | O_CREAT | O_APPEND, 0644);
   posix_spawn_file_actions_adddup2(&Actions, 1, 2);
+  // A copy of a stand-in's socket would keep its connection open when the
+  // stand-in ends it.
+  posix_spawn_file_actions_addclosefrom_np(&Actions, 3);
   m_stopping = false;
   m_paused = false;
   m_killed = false;
