--- a/src/libgateway/chooser.cpp
+++ b/src/libgateway/chooser.cpp
@@ -14,12 +14,6 @@
   return It == Regions.end() ? Domain : It->second;
 }
 
-/// Whether the engine can read one more prompt without a pause in its streams
-/// that is too long.
-bool hasTimeToRead(const EndpointLoad &Load, double ReadMs) {
-  return ReadMs * static_cast<double>(Load.m_unreadTokens) <= UnreadLimitMs;
-}
-
 /// Whether the engine has a place for a request of this rank.
 bool hasPlace(const ChoiceQuery &Query, const Service &Target,
               const EndpointLoad &Load, unsigned Slots, double ReadMs) {
@@ -30,7 +24,7 @@
     Places *= LowRankShare;
   if (Load.m_requests >= Places)
     return false;
-  if (!hasTimeToRead(Load, ReadMs))
+  if (ReadMs * static_cast<double>(Load.m_unreadTokens) > UnreadLimitMs)
     return false;
   if (Load.m_requests == 0 || Target.m_engine->m_kvTokens == 0)
     return true;
@@ -118,7 +112,7 @@
     if (Target.m_engine && Target.m_engine->m_slots > 0)
       Slots = Target.m_engine->m_slots;
     Slots = std::max(1U, Slots);
-    const EndpointLoad Load = E.load(Now);
+    const EndpointLoad Load = E.load();
     if (!hasPlace(Query, Target, Load, Slots, ReadMs)) {
       Note(ChoiceObstacle::Full);
       continue;
--- a/src/libgateway/chooser_test.cpp
+++ b/src/libgateway/chooser_test.cpp
@@ -82,7 +82,7 @@
   F.add("e1", "d1");
   unsigned Sent = 0;
   while (Sent < 100 && F.choose(F.query()).m_obstacle == ChoiceObstacle::None) {
-    F.m_table.onSent("e1", F.query().m_size, Start);
+    F.m_table.onSent("e1", F.query().m_size);
     ++Sent;
   }
   // 1,400 tokens take 84 ms at the typical speed.
@@ -90,8 +90,7 @@
   EXPECT_LE(Sent, 4U);
   for (unsigned I = 0; I < Sent; ++I)
     F.m_table.onPromptRead("e1", F.query().m_size);
-  const TimePoint Later = Start + PromptWindow;
-  EXPECT_EQ(F.choose(F.query(), Later).m_obstacle, ChoiceObstacle::None);
+  EXPECT_EQ(F.choose(F.query()).m_obstacle, ChoiceObstacle::None);
 }
 
 // Load pattern: a flood of batch work must leave places to urgent work.
--- a/src/libgateway/configuration.cpp
+++ b/src/libgateway/configuration.cpp
@@ -17,21 +17,6 @@
   return std::max({ShortestPatience, 4 * m_target, 8 * m_gapTarget});
 }
 
-void Configuration::deriveTargets() {
-  for (const Route &R : m_routes) {
-    if (R.m_gapTarget == Milliseconds::zero())
-      continue;
-    for (const WeightedService &S : R.m_services) {
-      const auto Target = m_services.find(S.m_service);
-      if (Target == m_services.end())
-        continue;
-      Milliseconds &Gap = Target->second.m_gapTarget;
-      Gap = Gap == Milliseconds::zero() ? R.m_gapTarget
-                                        : std::min(Gap, R.m_gapTarget);
-    }
-  }
-}
-
 const Route *Configuration::find(std::string_view Host,
                                  std::string_view Path) const {
   const Route *Best = nullptr;
--- a/src/libgateway/endpoints.cpp
+++ b/src/libgateway/endpoints.cpp
@@ -22,7 +22,6 @@
   m_requests += O.m_requests;
   m_kvTokens += O.m_kvTokens;
   m_unreadTokens += O.m_unreadTokens;
-  m_recentTokens += O.m_recentTokens;
   return *this;
 }
 
@@ -32,21 +31,11 @@
   Out.m_kvTokens = m_kvTokens - std::min(m_kvTokens, Part.m_kvTokens);
   Out.m_unreadTokens =
       m_unreadTokens - std::min(m_unreadTokens, Part.m_unreadTokens);
-  Out.m_recentTokens =
-      m_recentTokens - std::min(m_recentTokens, Part.m_recentTokens);
   return Out;
 }
 
-EndpointLoad Endpoint::ownLoad(TimePoint Now) const {
-  EndpointLoad Out = m_own;
-  for (const SentPrompt &P : m_sentPrompts)
-    if (Now - P.m_at < PromptWindow)
-      Out.m_recentTokens += P.m_tokens;
-  return Out;
-}
-
-EndpointLoad Endpoint::load(TimePoint Now) const {
-  EndpointLoad Sum = ownLoad(Now);
+EndpointLoad Endpoint::load() const {
+  EndpointLoad Sum = m_own;
   Sum += m_peerSum;
   return Sum;
 }
@@ -185,18 +174,12 @@
   E->m_orders = Orders;
 }
 
-void EndpointTable::onSent(const std::string &Id, RequestSize Size,
-                           TimePoint Now) {
-  Endpoint *E = find(Id);
-  if (!E)
-    return;
-  ++E->m_own.m_requests;
-  E->m_own.m_kvTokens += Size.m_kvTokens;
-  E->m_own.m_unreadTokens += Size.m_promptTokens;
-  while (!E->m_sentPrompts.empty() &&
-         Now - E->m_sentPrompts.front().m_at >= PromptWindow)
-    E->m_sentPrompts.pop_front();
-  E->m_sentPrompts.push_back({Now, Size.m_promptTokens});
+void EndpointTable::onSent(const std::string &Id, RequestSize Size) {
+  if (Endpoint *E = find(Id)) {
+    ++E->m_own.m_requests;
+    E->m_own.m_kvTokens += Size.m_kvTokens;
+    E->m_own.m_unreadTokens += Size.m_promptTokens;
+  }
 }
 
 void EndpointTable::onPromptRead(const std::string &Id, RequestSize Size) {
--- a/src/libgateway/endpoints.h
+++ b/src/libgateway/endpoints.h
@@ -5,7 +5,6 @@
 
 #include "libgateway/types.h"
 
-#include <deque>
 #include <map>
 #include <string>
 #include <unordered_map>
@@ -18,17 +17,12 @@
   unsigned m_requests = 0;
   std::uint64_t m_kvTokens = 0;
   std::uint64_t m_unreadTokens = 0; ///< Prompts without a first event yet.
-  /// Prompts sent within the last PromptWindow.
-  std::uint64_t m_recentTokens = 0;
 
   EndpointLoad &operator+=(const EndpointLoad &O);
   /// What remains without Part; no count falls below zero.
   EndpointLoad without(const EndpointLoad &Part) const;
 };
 
-/// Span over which the prompts sent to an endpoint are summed.
-inline constexpr Milliseconds PromptWindow{300};
-
 /// Size of a request, as far as an engine's load goes.
 struct RequestSize {
   std::uint64_t m_kvTokens = 0;
@@ -58,12 +52,7 @@
   /// This VM gives its orders, and m_held comes from them and from reports.
   /// Entries are older than both.
   bool m_ledHere = false;
-  EndpointLoad m_own; ///< Without m_recentTokens, which ownLoad() fills.
-  struct SentPrompt {
-    TimePoint m_at{};
-    std::uint64_t m_tokens = 0;
-  };
-  std::deque<SentPrompt> m_sentPrompts; ///< By this VM, oldest first.
+  EndpointLoad m_own;
   struct PeerLoad {
     EndpointLoad m_load;
     TimePoint m_until{}; ///< Forgotten then, unless told again.
@@ -82,8 +71,7 @@
 
   const HeldModel *held(const std::string &Model) const;
   bool holds(const std::string &Model, const std::string &Adapter) const;
-  EndpointLoad ownLoad(TimePoint Now) const;
-  EndpointLoad load(TimePoint Now) const; ///< Own and peers'.
+  EndpointLoad load() const; ///< Own and peers'.
   void setPeer(const std::string &Peer, EndpointLoad Load, TimePoint Until);
   void erasePeer(const std::string &Peer);
 };
@@ -148,7 +136,7 @@
   void onReport(const std::string &Id, std::uint64_t Incarnation,
                 std::uint64_t Orders, const std::vector<HeldModel> &Held,
                 TimePoint Now);
-  void onSent(const std::string &Id, RequestSize Size, TimePoint Now);
+  void onSent(const std::string &Id, RequestSize Size);
   /// The engine has read the prompt.
   void onPromptRead(const std::string &Id, RequestSize Size);
   /// PromptRead: onPromptRead() was called for it.
--- a/src/libgateway/endpoints_test.cpp
+++ b/src/libgateway/endpoints_test.cpp
@@ -102,16 +102,16 @@
 TEST(EndpointTable, LoadIsTheSumOfOwnAndRecentPeers) {
   EndpointTable Table;
   Table.onRecord(record("e1"), Start);
-  Table.onSent("e1", {100, 60}, Start);
+  Table.onSent("e1", {100, 60});
   Table.onPeerLoad("p", "e1", {3, 50, 20}, Start);
-  EXPECT_EQ(Table.find("e1")->load(Start).m_requests, 4U);
-  EXPECT_EQ(Table.find("e1")->load(Start).m_unreadTokens, 80U);
+  EXPECT_EQ(Table.find("e1")->load().m_requests, 4U);
+  EXPECT_EQ(Table.find("e1")->load().m_unreadTokens, 80U);
   Table.onPromptRead("e1", {100, 60});
   Table.onEnded("e1", {100, 60}, true);
-  EXPECT_EQ(Table.find("e1")->load(Start).m_requests, 3U);
-  EXPECT_EQ(Table.find("e1")->load(Start).m_unreadTokens, 20U);
+  EXPECT_EQ(Table.find("e1")->load().m_requests, 3U);
+  EXPECT_EQ(Table.find("e1")->load().m_unreadTokens, 20U);
   Table.expire(Start + Milliseconds(1));
-  EXPECT_EQ(Table.find("e1")->load(Start).m_requests, 0U);
+  EXPECT_EQ(Table.find("e1")->load().m_requests, 0U);
 }
 
 // Guards against a sum of loads that drifts from the parts it is made of.
@@ -121,12 +121,12 @@
   Table.onPeerLoad("vm-2", "e1", {3, 300, 30}, Start);
   Table.onPeerLoad("vm-2", "e1", {5, 500, 50}, Start);
   Table.onPeerLoad("vm-3", "e1", {1, 100, 10}, Start);
-  EXPECT_EQ(Table.find("e1")->load(Start).m_requests, 6U);
+  EXPECT_EQ(Table.find("e1")->load().m_requests, 6U);
   Table.forgetPeer("vm-3");
-  EXPECT_EQ(Table.find("e1")->load(Start).m_kvTokens, 500U);
+  EXPECT_EQ(Table.find("e1")->load().m_kvTokens, 500U);
   Table.onPeerLoad("vm-3", "e1", {1, 100, 10}, Start + Seconds(2));
   Table.expire(Start + Seconds(1));
-  EXPECT_EQ(Table.find("e1")->load(Start).m_unreadTokens, 10U);
+  EXPECT_EQ(Table.find("e1")->load().m_unreadTokens, 10U);
   Table.forgetPeers();
-  EXPECT_EQ(Table.find("e1")->load(Start).m_requests, 0U);
+  EXPECT_EQ(Table.find("e1")->load().m_requests, 0U);
 }
--- a/src/libgateway/exchange.cpp
+++ b/src/libgateway/exchange.cpp
@@ -62,7 +62,7 @@
   m_placed = true;
   m_choice = Where;
   m_ticket = 0;
-  m_core.m_endpoints.onSent(Where.m_endpoint, m_query.m_size, clockNow());
+  m_core.m_endpoints.onSent(Where.m_endpoint, m_query.m_size);
   m_core.noteLoadChanged(Where.m_endpoint);
   m_promptRead = false;
   m_core.m_demand.onStarted(m_query.m_model, m_query.m_adapter);
--- a/src/libgateway/gateway.cpp
+++ b/src/libgateway/gateway.cpp
@@ -151,7 +151,6 @@
   const std::uint64_t Version = Next.value().m_version;
   if (m_core.m_configuration && Version <= m_core.m_configuration->m_version)
     return; // An older one never replaces a newer one.
-  Next.value().deriveTargets();
   m_core.m_configuration =
       std::make_shared<const Configuration>(std::move(Next.value()));
   m_core.m_configurationAt = clockNow();
--- a/src/libgateway/peerreport.cpp
+++ b/src/libgateway/peerreport.cpp
@@ -31,19 +31,17 @@
 Json loadsJson(const std::vector<PeerEndpointLoad> &Loads) {
   Json Out = Json::array();
   for (const PeerEndpointLoad &L : Loads)
-    Out.push_back(
-        Json::array({L.m_endpoint, L.m_load.m_requests, L.m_load.m_kvTokens,
-                     L.m_load.m_unreadTokens, L.m_load.m_recentTokens}));
+    Out.push_back(Json::array({L.m_endpoint, L.m_load.m_requests,
+                               L.m_load.m_kvTokens, L.m_load.m_unreadTokens}));
   return Out;
 }
 
 std::vector<PeerEndpointLoad> loadsFrom(const Json &Rows) {
   std::vector<PeerEndpointLoad> Out;
   for (const Json &Row : Rows)
-    Out.push_back(
-        {Row.at(0).get<std::string>(),
-         {Row.at(1).get<unsigned>(), Row.at(2).get<std::uint64_t>(),
-          Row.at(3).get<std::uint64_t>(), Row.at(4).get<std::uint64_t>()}});
+    Out.push_back({Row.at(0).get<std::string>(),
+                   {Row.at(1).get<unsigned>(), Row.at(2).get<std::uint64_t>(),
+                    Row.at(3).get<std::uint64_t>()}});
   return Out;
 }
 
--- a/src/libgateway/peers.cpp
+++ b/src/libgateway/peers.cpp
@@ -104,7 +104,7 @@
   PeerReport R = emptyReport(LeaderToken);
   for (const auto &[Id, E] : m_core.m_endpoints.all())
     if (E.m_own.m_requests > 0)
-      R.m_loads.push_back({Id, E.ownLoad(Now)});
+      R.m_loads.push_back({Id, E.m_own});
   m_core.m_demand.fill(R, m_core.m_queue);
   for (const auto &[Fingerprint, Crash] : m_core.m_suspects.take())
     m_strikes.push_back({{Fingerprint, Crash}, Now});
@@ -219,20 +219,20 @@
     if (Ec)
       return;
     m_loadNoticeDue = false;
-    sendChangedLoads(std::chrono::steady_clock::now());
+    sendChangedLoads();
   });
 }
 
 /// Tells close gateways the loads that changed: a report would come after the
 /// prompts are read.
-void Peers::sendChangedLoads(TimePoint Now) {
+void Peers::sendChangedLoads() {
   if (m_changedLoads.empty())
     return;
   PeerReport Report = emptyReport(0);
   Report.m_partial = true;
   for (const std::string &Id : m_changedLoads)
     if (const Endpoint *E = m_core.m_endpoints.find(Id))
-      Report.m_loads.push_back({Id, E->ownLoad(Now)});
+      Report.m_loads.push_back({Id, E->m_own});
   m_changedLoads.clear();
   sendTo(Report, m_audience.closeMembers());
 }
--- a/src/libgateway/peers.h
+++ b/src/libgateway/peers.h
@@ -70,7 +70,7 @@
   PeerReport ownReport(std::uint64_t LeaderToken, TimePoint Now);
   void apply(const PeerReport &Report, TimePoint Now);
   void onLoadChanged(const std::string &Endpoint);
-  void sendChangedLoads(TimePoint Now);
+  void sendChangedLoads();
   void applyLoads(const PeerReport &Report, TimePoint Now);
   void applyDomainLoads(const PeerReport &Report, TimePoint Now);
   std::map<std::string, std::vector<PeerEndpointLoad>> domainLoads() const;
--- a/src/libgateway/placementleader.cpp
+++ b/src/libgateway/placementleader.cpp
@@ -49,7 +49,7 @@
   P.m_held = E.m_held;
   P.m_leaving = E.m_record.m_draining || E.m_missingSince.has_value();
   P.m_avoided = E.m_silentInRow >= 2;
-  P.m_load = E.load(Now).m_requests;
+  P.m_load = E.load().m_requests;
   P.m_atHand = E.m_record.m_atHand;
   const auto Backoff = m_backoff.find(P.m_id);
   P.m_busy = Backoff != m_backoff.end() && Backoff->second > Now;
--- a/src/libgateway/types.h
+++ b/src/libgateway/types.h
@@ -76,9 +76,7 @@
 
 struct Service {
   std::string m_name;
-  unsigned m_maxConnections = 100; ///< Per endpoint, from all VMs together.
-  /// Shortest of the longest pauses that its routes allow; zero if none does.
-  Milliseconds m_gapTarget{0};
+  unsigned m_maxConnections = 100;    ///< Per endpoint, from all VMs together.
   std::optional<EngineSpec> m_engine; ///< Empty for plain services.
 };
 
@@ -97,8 +95,6 @@
   std::map<std::string, Service> m_services;
   CallerLimits m_limits;
 
-  /// Fills what the services inherit from their routes.
-  void deriveTargets();
   /// The route of Host with the longest prefix of Path; null if none matches.
   const Route *find(std::string_view Host, std::string_view Path) const;
 };
