placement: an adapter whose unload waits keeps its place

An unload of an adapter in use is accepted (202) and waits for its runs; the leader took its place as free at once. Change: after an accepted unload the engine's next order follows a report; in a large fleet an adapter is kept for 2.5 report pauses. Test: LeaderOrders.AnAdapterWhoseUnloadWaitsKeepsItsPlace.

--- a/src/libgateway/placement.cpp
+++ b/src/libgateway/placement.cpp
@@ -136,7 +136,7 @@
       Oldest = Used;
       Out = Name;
     }
-  return Found && m_now - Oldest > AdapterKeepTime ? &Out : nullptr;
+  return Found && m_now - Oldest > m_input.m_adapterKeepTime ? &Out : nullptr;
 }
 
 void Plan::placeAdapters() {
--- a/src/libgateway/placement.h
+++ b/src/libgateway/placement.h
@@ -39,6 +39,9 @@
   double m_arrivals = 0; ///< Requests per second.
 };
 
+/// Shortest time for which an unused adapter is kept.
+inline constexpr Milliseconds AdapterKeepLeast{300};
+
 struct PlacementInput {
   std::vector<PlacementEngine> m_engines;
   std::map<std::string, ModelDemand> m_models;
@@ -46,6 +49,8 @@
   std::map<ArtifactName, unsigned> m_wantedAdapters;
   /// When each adapter was last asked for.
   std::map<ArtifactName, TimePoint> m_adapterUse;
+  /// An adapter unused for less than this is not unloaded for another.
+  Duration m_adapterKeepTime = AdapterKeepLeast;
   unsigned m_loadsAllowed = 0; ///< Loads of models that may start now.
 };
 
@@ -74,8 +79,9 @@
 inline constexpr double RelievedShare = 0.6;
 /// Arrivals per second below which a model gets no further copy.
 inline constexpr double ArrivalsForCopy = 1.0;
-/// An adapter unused for less than this is not unloaded for another.
-inline constexpr Milliseconds AdapterKeepTime{300};
+/// Reports of its users that may be missing before an adapter counts as unused:
+/// one that is in use is not unloaded at once, and keeps its place.
+inline constexpr double AdapterKeepReports = 2.5;
 
 /// Moves to order now, most valuable first; at most one for each engine.
 std::vector<PlacementMove> planPlacement(const EngineSpec &Spec,
--- a/src/libgateway/placementleader.cpp
+++ b/src/libgateway/placementleader.cpp
@@ -85,6 +85,12 @@
                                       TimePoint Now) {
   PlacementInput In;
   m_core.m_fleetDemand.fill(In, Now, reportLifetime(m_core.m_members));
+  // In a small fleet reports come more often than the shortest time asks for.
+  const Duration Reports = fromSeconds(
+      AdapterKeepReports * toSeconds(reportPause(m_core.m_members)));
+  In.m_adapterKeepTime = m_core.m_members > SmallFleet + 1
+                             ? std::max<Duration>(AdapterKeepLeast, Reports)
+                             : Duration(AdapterKeepLeast);
   for (const auto &[Id, E] : m_core.m_endpoints.all())
     if (E.m_record.m_service == ServiceName)
       In.m_engines.push_back(view(E, Now));
@@ -387,6 +393,8 @@
       asio::co_spawn(m_core.m_io, finishAdapter(Move), asio::detached);
     else
       m_onChanged(Move.m_engine);
+    if (!Load && Outcome == OrderResult::Accepted)
+      awaitUnload(Move.m_engine);
     co_return true;
   }
   if (Outcome == OrderResult::AlreadyHolds) {
@@ -397,6 +405,15 @@
   co_return false;
 }
 
+/// An adapter whose unload was accepted, and not done at once, is in use and
+/// keeps its place until a report shows that it is gone.
+void PlacementLeader::awaitUnload(const std::string &Id) {
+  m_core.m_metrics->count("adapter_unload_waits");
+  m_backoff[Id] = clockNow() + OrderBackoff;
+  if (Endpoint *Led = m_core.m_endpoints.find(Id))
+    Led->m_ledHere = false;
+}
+
 /// Lets requests use an adapter once its load has had its time.
 asio::awaitable<void> PlacementLeader::finishAdapter(PlacementMove Move) {
   const ArtifactName Name{Move.m_model, Move.m_adapter};
--- a/src/libgateway/placementleader.h
+++ b/src/libgateway/placementleader.h
@@ -5,6 +5,7 @@
 
 #include "libgateway/core.h"
 #include "libgateway/leadership.h"
+#include "libgateway/peeraudience.h"
 #include "libgateway/placement.h"
 
 #include <asio/awaitable.hpp>
@@ -64,6 +65,7 @@
   bool fits(const Endpoint &E, TimePoint Now) const;
   asio::awaitable<bool> orderModel(PlacementMove Move);
   asio::awaitable<bool> orderAdapter(PlacementMove Move);
+  void awaitUnload(const std::string &Id);
   asio::awaitable<void> finishAdapter(PlacementMove Move);
   asio::awaitable<void> afterRefusal(PlacementMove Move, OrderResult Outcome);
   void apply(const PlacementMove &Move, std::uint64_t Orders, TimePoint Now);
