--- a/src/libgateway/chooser.cpp
+++ b/src/libgateway/chooser.cpp
@@ -38,14 +38,15 @@
 } // namespace
 
 Chooser::Chooser(std::string Domain, std::map<std::string, std::string> Regions)
-    : m_domain(std::move(Domain)), m_regions(std::move(Regions)),
-      m_region(regionOf(m_regions, m_domain)) {}
+    : m_domain(std::move(Domain)), m_regions(std::move(Regions)) {}
 
-double Chooser::distancePenaltyMs(const std::string &Domain) const {
-  if (Domain == m_domain)
+double Chooser::distancePenaltyMs(const std::string &From,
+                                  const std::string &To) const {
+  if (From == To)
     return 0;
-  return regionOf(m_regions, Domain) == m_region ? OtherDomainPenaltyMs
-                                                 : OtherRegionPenaltyMs;
+  return regionOf(m_regions, From) == regionOf(m_regions, To)
+             ? OtherDomainPenaltyMs
+             : OtherRegionPenaltyMs;
 }
 
 double Chooser::scoreMs(const ChoiceQuery &Query, const Endpoint &E,
@@ -57,7 +58,9 @@
         PrefillMsPerToken * static_cast<double>(Load.m_pendingPrefillTokens);
   const double Fill = static_cast<double>(Load.m_requests) / Slots;
   double ScoreMs =
-      BaseMs * (1 + Fill) + distancePenaltyMs(E.m_record.m_failureDomain);
+      BaseMs * (1 + Fill) +
+      distancePenaltyMs(Query.m_domain.empty() ? m_domain : Query.m_domain,
+                        E.m_record.m_failureDomain);
   ScoreMs += StallPenaltyMs * E.m_stallShare + E.m_intervalMs;
   if (Fill > 1)
     ScoreMs += BaseMs * (Fill - 1) * 2;
--- a/src/libgateway/chooser.h
+++ b/src/libgateway/chooser.h
@@ -24,8 +24,13 @@
   RequestSize m_size;
   unsigned m_rank = 0;
   std::uint64_t m_affinity = 0; ///< Hash of the shared segments of the prompt.
+  /// Failure domain of the gateway that has the request; empty: the local one.
+  std::string m_domain;
   /// Endpoints that must not be used again.
   std::vector<std::string> m_excluded;
+  /// Excluded endpoints may be used again if no other one remains: nothing was
+  /// sent to any of them.
+  bool m_mayRevisit = false;
   /// May be sent as a probe to an avoided endpoint: a failed probe costs the
   /// request only time.
   bool m_mayProbe = true;
@@ -105,14 +110,14 @@
                 const Service &Target, TimePoint Now) const;
 
 private:
-  double distancePenaltyMs(const std::string &Domain) const;
+  double distancePenaltyMs(const std::string &From,
+                           const std::string &To) const;
   double scoreMs(const ChoiceQuery &Query, const Endpoint &E,
                  const EndpointLoad &Load, unsigned Slots,
                  double PrefillMsPerToken) const;
 
   std::string m_domain;
   std::map<std::string, std::string> m_regions;
-  std::string m_region;
 };
 
 } // namespace primroseworks::gateway
--- a/src/libgateway/core.cpp
+++ b/src/libgateway/core.cpp
@@ -1,5 +1,6 @@
 // Dispatch and retry operations on the shared gateway state.
 #include "libgateway/core.h"
+#include "libgateway/schedulerclient.h"
 
 namespace primroseworks::gateway {
 
@@ -19,28 +20,92 @@
   return m_chooser.choose(Query, m_endpoints, It->second, Now);
 }
 
+Admission Core::admit(ChoiceQuery Query, const WaitLimits &Limits, Waiter &W,
+                      TimePoint Now) {
+  Admission Out;
+  Out.m_obstacle = ChoiceObstacle::Full;
+  if (m_queue.empty()) {
+    const Choice C = choose(Query, Now);
+    Out.m_obstacle = C.m_obstacle;
+    if (C.m_obstacle == ChoiceObstacle::None) {
+      W.onDispatched(C, Now);
+      return Out;
+    }
+  }
+  Out.m_rejected = true;
+  if (Out.m_obstacle == ChoiceObstacle::Excluded) {
+    if (!Query.m_mayRevisit)
+      return Out;
+    Query.m_excluded.clear();
+  }
+  Out.m_expectedWait = expectedWait(Query, Out.m_obstacle, Now);
+  if (Out.m_expectedWait > Limits.m_maxWait)
+    return Out;
+  Out.m_ticket =
+      m_queue.add(std::move(Query), Out.m_obstacle, Limits.m_onTimeUntil, Now);
+  if (Out.m_ticket == 0) {
+    m_metrics->count("wait_queue_full");
+    return Out;
+  }
+  Out.m_rejected = false;
+  m_waiters[Out.m_ticket] = &W;
+  if (m_queue.size() > 1)
+    dispatchWaiting(Now);
+  if (!m_waiters.count(Out.m_ticket)) {
+    Out.m_ticket = 0;
+    Out.m_obstacle = ChoiceObstacle::None;
+  }
+  return Out;
+}
+
+ChoiceObstacle Core::cancel(TicketId Ticket) {
+  ChoiceObstacle Obstacle = ChoiceObstacle::Full;
+  m_queue.visit([&](const struct Ticket &T) {
+    if (T.m_id == Ticket)
+      Obstacle = T.m_obstacle;
+  });
+  m_queue.remove(Ticket);
+  m_waiters.erase(Ticket);
+  return Obstacle;
+}
+
+Duration Core::expectedWait(const ChoiceQuery &Query, ChoiceObstacle Obstacle,
+                            TimePoint Now) const {
+  if (Obstacle == ChoiceObstacle::NoModel && m_configuration) {
+    const auto Target = m_configuration->m_services.find(Query.m_service);
+    if (Target != m_configuration->m_services.end() &&
+        Target->second.m_engine) {
+      const auto &Models = Target->second.m_engine->m_models;
+      const auto Model = Models.find(Query.m_model);
+      if (Model != Models.end())
+        return Model->second.m_loadTime;
+    }
+  }
+  return m_queue.expectedWait(Query, Now).value_or(Duration::zero());
+}
+
 void Core::dispatchWaiting(TimePoint Now) {
   if (m_queue.empty())
     return;
   m_queue.dispatch(
       [this, Now](const ChoiceQuery &Query) { return choose(Query, Now); },
-      [this](const Grant &G) {
+      [this, Now](const Grant &G) {
         auto It = m_waiters.find(G.m_ticket);
         if (It == m_waiters.end())
           return;
         Waiter *W = It->second;
         m_waiters.erase(It);
-        W->onDispatched(G.m_choice);
+        W->onDispatched(G.m_choice, Now);
       },
       Now);
 }
 
 void Core::release(const std::string &Endpoint, const ChoiceQuery &Query,
-                   bool PrefillDone, TimePoint Now) {
-  m_endpoints.onEnded(Endpoint, Query.m_size, PrefillDone);
+                   PlacedBy By, bool PrefillDone, TimePoint Now) {
+  m_endpoints.onEnded(Endpoint, Query.m_size, PrefillDone, By);
   m_demand.onEnded(Query.m_model, Query.m_adapter);
-  if (!PrefillDone)
-    notifyLoadChanged(Endpoint); // Otherwise already sent with the first event.
+  if (By == PlacedBy::Local)
+    notifyLoadChanged(Endpoint);
   dispatchWaiting(Now);
 }
 
@@ -51,6 +116,8 @@
     Waiters.push_back(W);
   for (Waiter *W : Waiters)
     W->onRejected();
+  if (m_schedulerClient)
+    m_schedulerClient->endAll();
 }
 
 RetryWindow &Core::retries(const std::string &Service) {
--- a/src/libgateway/core.h
+++ b/src/libgateway/core.h
@@ -26,22 +26,51 @@
 class Waiter {
 public:
   virtual ~Waiter() = default;
-  virtual void onDispatched(const Choice &Where) = 0;
+  virtual void onDispatched(const Choice &Where, TimePoint Now) = 0;
   /// The request must be rejected immediately because this VM is stopping.
   virtual void onRejected() = 0;
 };
 
+/// How long a request may wait for an endpoint.
+struct WaitLimits {
+  TimePoint m_onTimeUntil{}; ///< If dispatched later, its response is late.
+  Duration m_maxWait{};
+};
+
+/// Result of Core::admit().
+struct Admission {
+  ChoiceObstacle m_obstacle = ChoiceObstacle::None; ///< Unless dispatched.
+  /// Of the queued request; 0 if it was dispatched at once or rejected.
+  TicketId m_ticket = 0;
+  bool m_rejected = false;
+  /// Of a rejected request; zero if there is no estimate.
+  Duration m_expectedWait{};
+};
+
+class SchedulerClient;
+
 class Core {
 public:
   Core(asio::io_context &Io, Settings Options, const Dialect &Platform,
        CrashSuspects Suspects);
 
   Choice choose(const ChoiceQuery &Query, TimePoint Now) const;
+  /// Dispatches a request to an endpoint, or queues it if one is expected to be
+  /// available in time. Calls onDispatched() before it returns if the request
+  /// was dispatched at once.
+  Admission admit(ChoiceQuery Query, const WaitLimits &Limits, Waiter &W,
+                  TimePoint Now);
+  /// Removes a queued request. Returns why it was not dispatched.
+  ChoiceObstacle cancel(TicketId Ticket);
+  /// Estimated time until an endpoint is available for a request that this
+  /// obstacle stopped; zero if there is no estimate.
+  Duration expectedWait(const ChoiceQuery &Query, ChoiceObstacle Obstacle,
+                        TimePoint Now) const;
   /// Dispatches waiting requests to endpoints with free capacity.
   void dispatchWaiting(TimePoint Now);
   /// Ends a request's use of Endpoint and dispatches waiting requests.
   void release(const std::string &Endpoint, const ChoiceQuery &Query,
-               bool PrefillDone, TimePoint Now);
+               PlacedBy By, bool PrefillDone, TimePoint Now);
   void notifyLoadChanged(const std::string &Endpoint) const {
     if (m_onLoadChanged)
       m_onLoadChanged(Endpoint);
@@ -69,8 +98,13 @@
   LocalDemand m_demand;
   FleetDemand m_fleetDemand;
   unsigned m_gatewayCount = 1; ///< Known gateways, including this one.
-  bool m_stopping = false;     ///< Callers are directed to other VMs.
-  bool m_closing = false; ///< Connections close after their current request.
+  /// Gateways that choose endpoints by the same load reports as this one,
+  /// including this one.
+  unsigned m_chooserCount = 1;
+  /// Asks coordinators for endpoints; null if there are no other gateways.
+  SchedulerClient *m_schedulerClient = nullptr;
+  bool m_stopping = false; ///< Callers are directed to other VMs.
+  bool m_closing = false;  ///< Connections close after their current request.
   bool m_rejectingWaiting = false; ///< New requests may not wait.
   /// Sends direct peers an immediate update after this VM's load at an endpoint
   /// changed.
--- a/src/libgateway/endpoints.cpp
+++ b/src/libgateway/endpoints.cpp
@@ -67,9 +67,11 @@
                      E.m_record.m_incarnation != Record.m_incarnation ||
                      E.m_record.m_address != Record.m_address;
   if (IsNew) {
-    EndpointLoad LocalLoad = E.m_localLoad;
+    const EndpointLoad LocalLoad = E.m_localLoad;
+    const EndpointLoad CoordinatedLoad = E.m_coordinatedLoad;
     E = Endpoint();
     E.m_localLoad = LocalLoad;
+    E.m_coordinatedLoad = CoordinatedLoad;
   }
   E.m_record = Record;
   E.m_missingSince.reset();
@@ -178,31 +180,39 @@
   E->m_orders = Orders;
 }
 
-void EndpointTable::onSent(const std::string &Id, RequestSize Size) {
-  if (Endpoint *E = find(Id)) {
-    ++E->m_localLoad.m_requests;
-    E->m_localLoad.m_kvTokens += Size.m_kvTokens;
-    E->m_localLoad.m_pendingPrefillTokens += Size.m_promptTokens;
-  }
+void EndpointTable::onSent(const std::string &Id, RequestSize Size,
+                           PlacedBy By) {
+  Endpoint *E = find(Id);
+  if (!E)
+    return;
+  const EndpointLoad Added{1, Size.m_kvTokens, Size.m_promptTokens};
+  E->m_localLoad += Added;
+  if (By == PlacedBy::Coordinator)
+    E->m_coordinatedLoad += Added;
 }
 
-void EndpointTable::onPrefillDone(const std::string &Id, RequestSize Size) {
-  if (Endpoint *E = find(Id))
-    E->m_localLoad.m_pendingPrefillTokens -=
-        std::min(E->m_localLoad.m_pendingPrefillTokens, Size.m_promptTokens);
+void EndpointTable::onPrefillDone(const std::string &Id, RequestSize Size,
+                                  PlacedBy By) {
+  Endpoint *E = find(Id);
+  if (!E)
+    return;
+  const EndpointLoad Done{0, 0, Size.m_promptTokens};
+  E->m_localLoad -= Done;
+  if (By == PlacedBy::Coordinator)
+    E->m_coordinatedLoad -= Done;
 }
 
 void EndpointTable::onEnded(const std::string &Id, RequestSize Size,
-                            bool PrefillDone) {
+                            bool PrefillDone, PlacedBy By) {
+  if (!PrefillDone)
+    onPrefillDone(Id, Size, By);
   Endpoint *E = find(Id);
   if (!E)
     return;
-  if (!PrefillDone)
-    onPrefillDone(Id, Size);
-  if (E->m_localLoad.m_requests > 0)
-    --E->m_localLoad.m_requests;
-  E->m_localLoad.m_kvTokens -=
-      std::min(E->m_localLoad.m_kvTokens, Size.m_kvTokens);
+  const EndpointLoad Ended{1, Size.m_kvTokens, 0};
+  E->m_localLoad -= Ended;
+  if (By == PlacedBy::Coordinator)
+    E->m_coordinatedLoad -= Ended;
 }
 
 void EndpointTable::onFirstEvent(const std::string &Service, Duration Latency,
@@ -261,6 +271,11 @@
     E->m_intervalMs += IntervalWeight * (toMillis(Interval) - E->m_intervalMs);
 }
 
+void EndpointTable::onMeanInterval(const std::string &Id, Duration Mean) {
+  if (Endpoint *E = find(Id))
+    E->m_intervalMs += MeanIntervalWeight * (toMillis(Mean) - E->m_intervalMs);
+}
+
 void EndpointTable::onArtifactRejected(const std::string &Id,
                                        const std::string &Model,
                                        const std::string &Adapter,
--- a/src/libgateway/endpoints.h
+++ b/src/libgateway/endpoints.h
@@ -20,6 +20,10 @@
       0; ///< Prompt tokens without a first event yet.
 
   EndpointLoad &operator+=(const EndpointLoad &O);
+  /// Removes Part; no count falls below zero.
+  EndpointLoad &operator-=(const EndpointLoad &Part) {
+    return *this = without(Part);
+  }
   /// Returns the load minus Part; no count falls below zero.
   EndpointLoad without(const EndpointLoad &Part) const;
 };
@@ -43,6 +47,10 @@
      {AttemptHealth::Silent, "silent"},
      {AttemptHealth::Refused, "refused"}}};
 
+/// Which gateway chose the endpoint of a request of this VM, and reports the
+/// load that it causes.
+enum class PlacedBy { Local, Coordinator };
+
 struct Endpoint {
   EndpointRecord m_record;
   /// Known holdings, from the record or from newer orders and reports.
@@ -55,6 +63,8 @@
   /// reports. Endpoint records are older than both.
   bool m_controlledHere = false;
   EndpointLoad m_localLoad;
+  /// Part of m_localLoad that coordinators report as theirs.
+  EndpointLoad m_coordinatedLoad;
   struct PeerLoad {
     EndpointLoad m_load;
     TimePoint m_expires{}; ///< Dropped then, unless reported again.
@@ -86,6 +96,7 @@
 inline constexpr double LatencyWeight = 0.15;
 inline constexpr double StallWeight = 0.2;
 inline constexpr double IntervalWeight = 0.03;
+inline constexpr double MeanIntervalWeight = 0.3; ///< Of a whole stream's mean.
 /// Prefill time per prompt token: the value before the first measurement, and
 /// the limits of a sample. They keep one stalled engine, whose samples count
 /// for the whole service, from blocking requests to the other engines.
@@ -144,10 +155,13 @@
   void onReport(const std::string &Id, std::uint64_t Incarnation,
                 std::uint64_t Orders, const std::vector<HeldModel> &Held,
                 TimePoint Now);
-  void onSent(const std::string &Id, RequestSize Size);
-  void onPrefillDone(const std::string &Id, RequestSize Size);
+  void onSent(const std::string &Id, RequestSize Size,
+              PlacedBy By = PlacedBy::Local);
+  void onPrefillDone(const std::string &Id, RequestSize Size,
+                     PlacedBy By = PlacedBy::Local);
   /// PrefillDone: onPrefillDone() was called for the request.
-  void onEnded(const std::string &Id, RequestSize Size, bool PrefillDone);
+  void onEnded(const std::string &Id, RequestSize Size, bool PrefillDone,
+               PlacedBy By = PlacedBy::Local);
   /// Takes a sample of the prefill time: the latency of a stream's first event,
   /// and the prompt tokens to process until then, its own and those ahead of
   /// it.
@@ -162,6 +176,8 @@
   void onStallSample(const std::string &Id, bool Stalled);
   /// Records the interval between successive events of a stream.
   void onInterval(const std::string &Id, Duration Interval);
+  /// Records the mean interval between the events of a whole stream.
+  void onMeanInterval(const std::string &Id, Duration Mean);
   void onArtifactRejected(const std::string &Id, const std::string &Model,
                           const std::string &Adapter, TimePoint Now);
   /// Removes the endpoint: another one responded at its address.
--- a/src/libgateway/exchange.cpp
+++ b/src/libgateway/exchange.cpp
@@ -58,17 +58,50 @@
     m_connection->close();
 }
 
-void Exchange::onDispatched(const Choice &Placement) {
-  m_placed = true;
-  m_choice = Placement;
+void Exchange::onDispatched(const Choice &Placement, TimePoint) {
   m_ticket = 0;
-  m_core.m_endpoints.onSent(Placement.m_endpoint, m_query.m_size);
+  m_coordinatorTicket = {};
+  place(Placement, PlacedBy::Local);
   m_core.notifyLoadChanged(Placement.m_endpoint);
+}
+
+void Exchange::onGranted(const Choice &Placement,
+                         const CoordinatorTicket &Ticket) {
+  m_coordinatorTicket = Ticket;
+  m_scheduleDecided = true;
+  place(Placement, PlacedBy::Coordinator);
+}
+
+void Exchange::onScheduleRejected(ChoiceObstacle Obstacle,
+                                  Duration ExpectedWait) {
+  m_choice.m_obstacle = Obstacle;
+  m_expectedWait = ExpectedWait;
+  m_scheduleDecided = true;
+  m_waitTimer.cancel();
+}
+
+void Exchange::onNoCoordinator() { m_waitTimer.cancel(); }
+
+/// Counts the request at its endpoint.
+void Exchange::place(const Choice &Placement, PlacedBy By) {
+  m_placed = true;
+  m_placedBy = By;
+  m_choice = Placement;
+  m_core.m_endpoints.onSent(Placement.m_endpoint, m_query.m_size, By);
   m_prefillDone = false;
+  m_observation = {};
+  m_eventBatches = 0;
   m_core.m_demand.onStarted(m_query.m_model, m_query.m_adapter);
   m_waitTimer.cancel();
 }
 
+/// Ends the use of the endpoint that the request was placed at.
+void Exchange::releaseEndpoint(TimePoint Now) {
+  m_core.release(m_choice.m_endpoint, m_query, m_placedBy, m_prefillDone, Now);
+  if (m_placedBy == PlacedBy::Coordinator)
+    m_core.m_schedulerClient->onEnded(m_coordinatorTicket, m_observation);
+}
+
 asio::awaitable<bool> Exchange::run() {
   m_keepAlive = m_head.m_keepAlive;
   const bool Keep = co_await serve();
@@ -99,7 +132,7 @@
   m_query.m_rank = m_route->m_rank;
   m_query.m_affinity = affinityHash(m_requestMetadata);
   m_query.m_mayProbe = m_route->mayRunAgain();
-  m_query.m_gatewayCount = m_core.m_gatewayCount;
+  m_query.m_gatewayCount = m_core.m_chooserCount;
   m_query.m_jitterSeed = m_core.m_random();
   auto Target = m_configuration->m_services.find(m_query.m_service);
   m_engineService = Target != m_configuration->m_services.end() &&
@@ -151,7 +184,7 @@
           std::string(nameOf(ChoiceObstacleNames, m_choice.m_obstacle)));
     }
     if (m_callerGone) {
-      m_core.release(m_choice.m_endpoint, m_query, false, clockNow());
+      releaseEndpoint(clockNow());
       co_return false;
     }
     const std::string Endpoint = m_choice.m_endpoint;
@@ -161,7 +194,7 @@
       m_connection->close();
     m_connection = nullptr;
     recordAttempt(Outcome, Now);
-    m_core.release(Endpoint, m_query, m_prefillDone, Now);
+    releaseEndpoint(Now);
     if (Outcome == AttemptOutcome::Delivered)
       co_return true;
     if (m_callerGone || Outcome == AttemptOutcome::CallerGone)
@@ -193,7 +226,7 @@
 /// attempts, the deadline and the service's retry limit allow it. Takes one
 /// retry from that limit if so.
 bool Exchange::takeRetry(TimePoint Now) {
-  if (m_sentAttempts >= m_route->m_maxAttempts || Now >= m_deadline)
+  if (attemptsThatMayHaveRun() >= m_route->m_maxAttempts || Now >= m_deadline)
     return false;
   if (m_core.retries(m_query.m_service).tryAcquire(m_core.m_gatewayCount, Now))
     return true;
@@ -204,7 +237,7 @@
 /// Whether another endpoint could take the request at once. Takes nothing from
 /// the retry limit.
 bool Exchange::canFailOver(TimePoint Now) {
-  if (m_sentAttempts >= m_route->m_maxAttempts ||
+  if (attemptsThatMayHaveRun() >= m_route->m_maxAttempts ||
       !m_core.retries(m_query.m_service).allows(m_core.m_gatewayCount, Now))
     return false;
   ChoiceQuery Query = m_query;
@@ -227,88 +260,88 @@
 /// Longest time to wait for an endpoint so that the caller can still use the
 /// response.
 Duration Exchange::maxEndpointWait(TimePoint Now) const {
-  if (m_committed)
-    return StreamStallTimeout;
+  const Duration CallerTimeout = Duration(m_route->callerTimeout()) * 7 / 10;
+  // A stream that has begun is broken off if no endpoint continues it, so it
+  // waits as long as its caller does.
   const Duration UntilDeadline =
-      fromSeconds(toSeconds(m_deadline - Now) * EndpointWaitShare);
-  const Duration UntilCallerLeaves =
-      m_arrivedAt + Duration(m_route->callerTimeout()) * 7 / 10 - Now;
+      m_committed
+          ? m_deadline - Now
+          : fromSeconds(toSeconds(m_deadline - Now) * EndpointWaitShare);
+  const TimePoint LastSign = m_committed ? m_lastEventsAt : m_arrivedAt;
+  const Duration UntilCallerLeaves = LastSign + CallerTimeout - Now;
   return std::max(Duration::zero(), std::min(UntilDeadline, UntilCallerLeaves));
 }
 
-/// Estimated time until an endpoint is available; zero if there is no estimate.
-Duration Exchange::expectedWait(ChoiceObstacle Obstacle, TimePoint Now) const {
-  if (Obstacle == ChoiceObstacle::NoModel) {
-    const auto Target = m_configuration->m_services.find(m_query.m_service);
-    if (Target != m_configuration->m_services.end() &&
-        Target->second.m_engine) {
-      const auto &Models = Target->second.m_engine->m_models;
-      const auto Model = Models.find(m_query.m_model);
-      if (Model != Models.end())
-        return Model->second.m_loadTime;
-    }
-  }
-  return m_core.m_queue.expectedWait(m_query, Now).value_or(Duration::zero());
+WaitLimits Exchange::waitLimits(TimePoint Now) const {
+  WaitLimits Limits;
+  Limits.m_maxWait = maxEndpointWait(Now);
+  Limits.m_onTimeUntil =
+      m_committed ? TimePoint::max()
+                  : m_arrivedAt + Duration(m_route->m_latencyTarget) * 6 / 10;
+  return Limits;
+}
+
+asio::awaitable<void> Exchange::waitForEndpoint(TimePoint Until) {
+  const TimePoint Start = clockNow();
+  m_waitTimer.expires_at(Until);
+  std::error_code Ignored;
+  co_await m_waitTimer.async_wait(
+      asio::redirect_error(asio::use_awaitable, Ignored));
+  m_waited += clockNow() - Start;
+}
+
+/// Asks the coordinators for an endpoint. Returns true if one of them decided,
+/// or if the wait is over; m_placed tells whether the request has an endpoint.
+asio::awaitable<bool> Exchange::acquireFromCoordinator() {
+  if (!m_core.m_schedulerClient)
+    co_return false;
+  const TimePoint Now = clockNow();
+  const WaitLimits Limits = waitLimits(Now);
+  m_scheduleDecided = false;
+  const TicketId Ticket =
+      m_core.m_schedulerClient->request(m_query, Limits, *this, Now);
+  if (Ticket == 0)
+    co_return false;
+  const TimePoint Until = Now + Limits.m_maxWait;
+  co_await waitForEndpoint(Until);
+  if (!m_placed)
+    m_core.m_schedulerClient->withdraw(Ticket);
+  co_return m_scheduleDecided || m_callerGone || clockNow() >= Until;
 }
 
 asio::awaitable<bool> Exchange::acquireEndpoint() {
-  TimePoint Now = clockNow();
   m_placed = false;
-  ChoiceObstacle Obstacle = ChoiceObstacle::Full;
-  if (m_core.m_queue.empty()) {
-    const Choice C = m_core.choose(m_query, Now);
-    if (C.m_obstacle == ChoiceObstacle::None) {
-      onDispatched(C);
-      co_return true;
-    }
-    m_choice = C;
-    Obstacle = C.m_obstacle;
-  }
+  m_expectedWait = {};
   // Endpoints at which the request failed are tried again only if nothing was
   // sent to any of them: an endpoint that got the request may have run it.
-  if (Obstacle == ChoiceObstacle::Excluded) {
-    if (m_sentAttempts > 0)
-      co_return false;
-    m_query.m_excluded.clear();
-  }
-  const Duration MaxWait = maxEndpointWait(Now);
+  m_query.m_mayRevisit = m_sentAttempts == 0;
+  if (co_await acquireFromCoordinator())
+    co_return m_placed;
+  const TimePoint Now = clockNow();
   if (m_core.m_rejectingWaiting && !m_committed) {
-    m_choice.m_obstacle = Obstacle;
-    co_return false;
-  }
-  if (expectedWait(Obstacle, Now) > MaxWait) {
-    m_choice.m_obstacle = Obstacle;
-    co_return false;
+    const Choice C = m_core.choose(m_query, Now);
+    if (C.m_obstacle == ChoiceObstacle::None)
+      onDispatched(C, Now);
+    m_choice = C;
+    co_return m_placed;
   }
-  const TimePoint OnTimeUntil =
-      m_committed ? TimePoint::max()
-                  : m_arrivedAt + Duration(m_route->m_latencyTarget) * 6 / 10;
-  m_ticket = m_core.m_queue.add(m_query, Obstacle, OnTimeUntil, Now);
-  if (m_ticket == 0) {
-    m_core.m_metrics->count("wait_queue_full");
+  const WaitLimits Limits = waitLimits(Now);
+  const Admission A = m_core.admit(m_query, Limits, *this, Now);
+  if (m_placed)
+    co_return true;
+  m_choice.m_obstacle = A.m_obstacle;
+  m_expectedWait = A.m_expectedWait;
+  if (A.m_rejected)
     co_return false;
-  }
-  const TicketId Id = m_ticket;
-  m_core.m_waiters[Id] = this;
-  if (m_core.m_queue.size() > 1)
-    m_core.dispatchWaiting(Now);
-  if (!m_placed) {
-    if (!m_query.m_adapter.empty() && m_core.m_onAdapterWanted)
-      m_core.m_onAdapterWanted();
-    m_waitTimer.expires_at(Now + MaxWait);
-    std::error_code Ignored;
-    co_await m_waitTimer.async_wait(
-        asio::redirect_error(asio::use_awaitable, Ignored));
-  }
-  m_waited += clockNow() - Now;
+  m_ticket = A.m_ticket;
+  if (!m_query.m_adapter.empty() && m_core.m_onAdapterWanted)
+    m_core.m_onAdapterWanted();
+  co_await waitForEndpoint(Now + Limits.m_maxWait);
   if (m_placed)
     co_return true;
-  m_core.m_queue.visit([&](const Ticket &T) {
-    if (T.m_id == Id)
-      m_choice.m_obstacle = T.m_obstacle;
-  });
-  m_core.m_queue.remove(Id);
-  m_core.m_waiters.erase(Id);
+  m_choice.m_obstacle = m_core.cancel(A.m_ticket);
+  m_expectedWait =
+      m_core.expectedWait(m_query, m_choice.m_obstacle, clockNow());
   m_ticket = 0;
   co_return false;
 }
@@ -343,7 +376,8 @@
 /// Time at which an attempt without a response times out.
 TimePoint Exchange::attemptDeadline(TimePoint Now) const {
   const TimePoint Latest = m_deadline + DeadlineGrace;
-  if (!m_route->mayRunAgain() || m_sentAttempts >= m_route->m_maxAttempts)
+  if (!m_route->mayRunAgain() ||
+      attemptsThatMayHaveRun() >= m_route->m_maxAttempts)
     return Latest;
   if (m_route->m_kind == RouteKind::Stream)
     return std::min<TimePoint>(
@@ -423,6 +457,7 @@
     }
     if (HeadRead) {
       m_core.m_endpoints.onFirstByte(m_choice.m_endpoint, clockNow() - Now);
+      m_observation.m_firstByteMs = toMillis(clockNow() - Now);
       const bool IsStream = m_route->m_kind == RouteKind::Stream &&
                             isSuccess(C->m_reader.head().m_status);
       Outcome = IsStream ? co_await relayEvents(C, AttemptTimer)
@@ -484,11 +519,18 @@
 void Exchange::recordFirstEvent() {
   const TimePoint Now = clockNow();
   m_prefillDone = true;
-  m_core.m_endpoints.onPrefillDone(m_choice.m_endpoint, m_query.m_size);
-  m_core.notifyLoadChanged(m_choice.m_endpoint);
+  m_core.m_endpoints.onPrefillDone(m_choice.m_endpoint, m_query.m_size,
+                                   m_placedBy);
   m_core.m_endpoints.onFirstEvent(m_query.m_service, Now - m_sentAt,
                                   m_choice.m_pendingPrefillTokens +
                                       m_query.m_size.m_promptTokens);
+  if (m_placedBy == PlacedBy::Coordinator) {
+    m_observation.m_firstEventMs = toMillis(Now - m_sentAt);
+    m_core.m_schedulerClient->onPrefillDone(m_coordinatorTicket, m_observation);
+    m_observation = {};
+  } else {
+    m_core.notifyLoadChanged(m_choice.m_endpoint);
+  }
   m_core.dispatchWaiting(Now);
 }
 
@@ -503,6 +545,7 @@
       Gap <= m_route->m_gapTarget)
     return;
   m_stalled = true;
+  m_observation.m_stalled = true;
   m_core.m_endpoints.onStallSample(m_choice.m_endpoint, true);
 }
 
@@ -517,7 +560,7 @@
     co_return AttemptOutcome::Broken;
   EventSplitter Splitter;
   const bool MayFailOver =
-      m_route->m_resumable && m_sentAttempts < m_route->m_maxAttempts;
+      m_route->m_resumable && attemptsThatMayHaveRun() < m_route->m_maxAttempts;
   for (;;) {
     Splitter.add(C->m_reader.takeBody());
     std::string NewEvents;
@@ -541,6 +584,8 @@
       else
         recordEventGap(clockNow());
       m_lastEventsAt = clockNow();
+      if (m_eventBatches++ == 0)
+        m_firstEventsAt = m_lastEventsAt;
     }
     // Complete events are forwarded even if the stream is truncated after them:
     // they count as sent, and another endpoint continues after the last one.
@@ -564,8 +609,10 @@
     if (!Out.empty() && !co_await write(std::move(Out)))
       co_return AttemptOutcome::CallerGone;
     if (Complete) {
-      if (!m_stalled)
+      if (!m_stalled) {
+        m_observation.m_stalled = false;
         m_core.m_endpoints.onStallSample(m_choice.m_endpoint, false);
+      }
       m_outcome = "ran";
       co_return AttemptOutcome::Delivered;
     }
@@ -655,7 +702,7 @@
   R.m_timeLeft = std::max(Duration::zero(), m_deadline - Now);
   if (m_route)
     R.m_onTimeLeft = m_arrivedAt + Duration(m_route->m_latencyTarget) - Now;
-  R.m_expectedWait = expectedWait(m_choice.m_obstacle, Now);
+  R.m_expectedWait = m_expectedWait;
   R.m_localCause = m_core.m_rejectingWaiting || m_core.m_stopping;
   R.m_random = std::uniform_real_distribution<double>(0, 1)(m_core.m_random);
   return retryAfter(R);
@@ -705,7 +752,10 @@
   case AttemptOutcome::CallerGone:
     return;
   case AttemptOutcome::NotRun:
+    ++m_refusedAttempts;
     Health = AttemptHealth::Refused;
+    m_observation.m_endpointReplaced = m_endpointReplaced;
+    m_observation.m_artifactRejected = !m_endpointReplaced && m_engineService;
     if (m_endpointReplaced)
       Table.onReplaced(Id);
     else if (m_engineService)
@@ -721,6 +771,10 @@
     break;
   }
   Table.onHealth(Id, Health, Now);
+  m_observation.m_health = Health;
+  if (m_eventBatches > 1)
+    m_observation.m_intervalMs =
+        toMillis(m_lastEventsAt - m_firstEventsAt) / (m_eventBatches - 1);
   if (Outcome == AttemptOutcome::Broken && m_closedByPeer && m_engineService)
     if (const Endpoint *E = Table.find(Id))
       m_core.m_suspects.strike(
@@ -768,6 +822,7 @@
       .text("reason", Reason)
       .number("status", m_status)
       .text("endpoint", m_choice.m_endpoint)
+      .text("coordinator", m_coordinatorTicket.m_coordinator)
       .text("obstacle", nameOf(ChoiceObstacleNames, m_choice.m_obstacle))
       .number("load", m_choice.m_load)
       .number("candidates", m_choice.m_candidates)
--- a/src/libgateway/exchange.h
+++ b/src/libgateway/exchange.h
@@ -4,6 +4,7 @@
 
 #include "libgateway/core.h"
 #include "libgateway/events.h"
+#include "libgateway/schedulerclient.h"
 
 #include <asio/awaitable.hpp>
 #include <memory>
@@ -58,7 +59,9 @@
 /// The first configuration usually arrives within this time after the start.
 inline constexpr Milliseconds TypicalConfigurationDelay{1000};
 
-class Exchange : public std::enable_shared_from_this<Exchange>, public Waiter {
+class Exchange : public std::enable_shared_from_this<Exchange>,
+                 public Waiter,
+                 public ScheduleWaiter {
 public:
   Exchange(Core &Shared, asio::ip::tcp::socket &Caller, HttpHead Head,
            std::string Body, TimePoint Arrived);
@@ -66,14 +69,27 @@
   asio::awaitable<bool> run();
   /// Called when the caller has closed its connection.
   void onCallerGone();
-  void onDispatched(const Choice &Placement) override;
+  void onDispatched(const Choice &Placement, TimePoint Now) override;
   void onRejected() override { m_waitTimer.cancel(); }
+  void onGranted(const Choice &Placement,
+                 const CoordinatorTicket &Ticket) override;
+  void onScheduleRejected(ChoiceObstacle Obstacle,
+                          Duration ExpectedWait) override;
+  void onNoCoordinator() override;
 
 private:
   asio::awaitable<bool> serve();
   asio::awaitable<bool> rejectUnconfigured(TimePoint Now);
   asio::awaitable<bool> finishAfterAttempt(AttemptOutcome Outcome);
   asio::awaitable<bool> acquireEndpoint();
+  asio::awaitable<bool> acquireFromCoordinator();
+  asio::awaitable<void> waitForEndpoint(TimePoint Until);
+  void place(const Choice &Placement, PlacedBy By);
+  void releaseEndpoint(TimePoint Now);
+  WaitLimits waitLimits(TimePoint Now) const;
+  unsigned attemptsThatMayHaveRun() const {
+    return m_sentAttempts - m_refusedAttempts;
+  }
   asio::awaitable<AttemptOutcome> attempt();
   asio::awaitable<AttemptOutcome> readResponse(ConnectionPtr C);
   asio::awaitable<AttemptOutcome> relayEvents(ConnectionPtr C,
@@ -96,7 +112,6 @@
   Watchdog::Extension extendUnlessFailover();
   TimePoint attemptDeadline(TimePoint Now) const;
   Duration maxEndpointWait(TimePoint Now) const;
-  Duration expectedWait(ChoiceObstacle Obstacle, TimePoint Now) const;
   Duration currentRetryAfter(TimePoint Now);
   void recordAttempt(AttemptOutcome Outcome, TimePoint Now);
   void logCompletion(TimePoint Now) const;
@@ -118,12 +133,21 @@
   asio::steady_timer m_waitTimer;
   TicketId m_ticket = 0; ///< Set while the request is in the wait queue.
   bool m_placed = false;
+  PlacedBy m_placedBy = PlacedBy::Local;
+  CoordinatorTicket m_coordinatorTicket; ///< If a coordinator placed it.
+  /// The coordinator's answer is the final one: it is not asked again and this
+  /// VM does not choose itself.
+  bool m_scheduleDecided = false;
   Choice m_choice;
+  /// Expected wait for an endpoint when the request was last rejected.
+  Duration m_expectedWait{};
   ConnectionPtr m_connection; ///< Used by the current attempt.
   bool m_callerGone = false;
   bool m_keepAlive = false; ///< The caller's connection can be reused.
 
   unsigned m_sentAttempts = 0; ///< Attempts that were sent to an endpoint.
+  /// Sent attempts whose endpoint stated that it did not run the request.
+  unsigned m_refusedAttempts = 0;
   /// An attempt ended without a statement that it did not run.
   bool m_mayHaveRun = false;
   bool m_committed = false; ///< The response head was sent to the caller.
@@ -134,8 +158,12 @@
   unsigned m_attemptStatus = 0; ///< Of the last attempt's response; 0 if none.
   /// Another endpoint responded at the address of the chosen one.
   bool m_endpointReplaced = false;
-  TimePoint m_sentAt{};         ///< When the current attempt was sent.
-  TimePoint m_lastEventsAt{};   ///< When the latest events arrived.
+  TimePoint m_sentAt{};        ///< When the current attempt was sent.
+  TimePoint m_lastEventsAt{};  ///< When the latest events arrived.
+  TimePoint m_firstEventsAt{}; ///< When the attempt's first events arrived.
+  unsigned m_eventBatches = 0; ///< Reads with events in this attempt.
+  /// What the current attempt has shown so far, for its coordinator.
+  AttemptObservation m_observation;
   Duration m_longestEventGap{}; ///< Over all attempts.
   bool m_stalled = false;      ///< The attempt exceeded the route's gap target.
   bool m_prefillDone = false;  ///< The current attempt has got its first event.
--- a/src/libgateway/gateway.cpp
+++ b/src/libgateway/gateway.cpp
@@ -22,7 +22,8 @@
 std::string encodeMember(const Settings &Options) {
   return nlohmann::json{{"name", Options.m_vm},
                         {"address", Options.m_address},
-                        {"failure_domain", Options.m_failureDomain}}
+                        {"failure_domain", Options.m_failureDomain},
+                        {"cpu_share", Options.m_cpuShare}}
       .dump();
 }
 
@@ -32,7 +33,9 @@
   if (J.is_object() && J.value("name", nlohmann::json()).is_string() &&
       J.value("address", nlohmann::json()).is_string() &&
       J.value("failure_domain", nlohmann::json()).is_string()) {
-    Member M{J["name"], J["address"], J["failure_domain"]};
+    const nlohmann::json Cpu = J.value("cpu_share", nlohmann::json(1.0));
+    Member M{J["name"], J["address"], J["failure_domain"],
+             Cpu.is_number() ? Cpu.get<double>() : 1.0};
     (void)asio::ip::make_address(M.m_address, Ec);
     if (!Ec)
       return M;
@@ -53,6 +56,16 @@
       m_store(Store), m_storePool(StorePool),
       m_settingsPath(std::move(SettingsPath)), m_callerListener(m_core),
       m_peers(m_core),
+      m_scheduler(m_core,
+                  [this](const std::string &Name, const ScheduleReply &Reply) {
+                    m_peers.sendMessage(Name, Reply);
+                  }),
+      m_schedulerClient(
+          m_core, m_peers.audience(),
+          [this](const std::string &Name, const SchedulingMessage &Message) {
+            m_peers.sendMessage(Name, Message);
+          }),
+      m_relayTimer(Io),
       m_leaderClaim(m_core.m_settings.m_lease, LeaderLeaseMargin),
       m_placementLeader(m_core, m_leaderClaim, m_core.m_settings.m_vm,
                         [this](const std::string &Id) {
@@ -61,6 +74,9 @@
                         }),
       m_signals(Io, SIGTERM, SIGINT, SIGHUP), m_placementTimer(Io),
       m_announcementTimer(Io) {
+  m_core.m_schedulerClient = &m_schedulerClient;
+  m_peers.setOnMessage(
+      [this](const SchedulingMessage &Message) { onMessage(Message); });
   m_core.m_onAdapterWanted = [this] { schedulePlacement(); };
   m_peers.setOnPeerAdapterWanted([this] {
     if (isLeader())
@@ -75,6 +91,7 @@
       .text("failure_domain", m_core.m_settings.m_failureDomain)
       .text("store", m_core.m_settings.m_store);
   BOOST_OUTCOME_TRYV(m_peers.open());
+  m_schedulerClient.setStart(m_peers.start());
   BOOST_OUTCOME_TRYV(openStatusListener(m_core.m_settings.m_ready, false));
   if (!m_core.m_settings.m_metrics.empty()) {
     BOOST_OUTCOME_TRYV(openStatusListener(m_core.m_settings.m_metrics, true));
@@ -257,13 +274,13 @@
   co_return Revision;
 }
 
-void Gateway::applyChanges(const StoreChanges &Changes) {
+void Gateway::applyChanges(const std::vector<StoreChange> &Changes,
+                           std::uint64_t Revision, bool RecentlyUnavailable) {
   const TimePoint Now = clockNow();
-  const bool RecentlyUnavailable = storeRecentlyUnavailable(Now);
   const std::string Endpoints = m_core.m_dialect.endpointPrefix();
   bool EndpointsChanged = false;
   bool GatewaysChanged = false;
-  for (const StoreChange &C : Changes.m_changes) {
+  for (const StoreChange &C : Changes) {
     if (C.m_key.rfind(Endpoints, 0) == 0) {
       EndpointsChanged = true;
       applyEndpoint(C, RecentlyUnavailable);
@@ -280,7 +297,7 @@
   }
   m_core.m_endpointsAt = Now;
   if (GatewaysChanged)
-    applyGateways(Changes.m_revision);
+    applyGateways(Revision);
   if (!EndpointsChanged)
     return;
   m_core.dispatchWaiting(Now);
@@ -288,45 +305,103 @@
     schedulePlacement();
 }
 
-/// Keeps the configuration, the endpoints and the gateways up to date with a
-/// single watch over all keys.
+/// Waits while a coordinator's relays keep this gateway's copy of the store up
+/// to date. Returns whether it waited.
+asio::awaitable<bool> Gateway::awaitRelayEnd() {
+  if (m_peers.audience().isCoordinator() || !m_peers.audience().isLarge() ||
+      isLeader() || !m_storeFollower.followsRelay(clockNow()))
+    co_return false;
+  m_relayTimer.expires_at(m_storeFollower.relayValidUntil());
+  std::error_code Ignored;
+  co_await m_relayTimer.async_wait(
+      asio::redirect_error(asio::use_awaitable, Ignored));
+  co_return true;
+}
+
+/// Makes one watch call and applies and relays what it returned. Returns false
+/// if the store's state must be read again.
+asio::awaitable<bool> Gateway::watchOnce(Duration &Backoff) {
+  const std::uint64_t From = m_storeFollower.revision();
+  const bool Coordinator = m_peers.audience().isCoordinator();
+  Result<StoreChanges> Changes = co_await m_store.watch(
+      "", From, Coordinator ? CoordinatorWatchTimeout : WatchTimeout);
+  onStoreResult(Changes.has_value(), "watch");
+  if (!Changes) {
+    // The next watch returns the missed changes from the store's history, or
+    // reports that the history no longer has them.
+    co_await sleep(Backoff);
+    Backoff = std::min<Duration>(2 * Backoff, MaxStoreBackoff);
+    co_return true;
+  }
+  Backoff = MinStoreBackoff;
+  if (Changes.value().m_historyLost)
+    co_return false;
+  const bool RecentlyUnavailable = storeRecentlyUnavailable(clockNow());
+  for (const StoreRelay &Relay : makeRelays(
+           m_core.m_settings.m_vm, From, Changes.value(), RecentlyUnavailable))
+    m_peers.relay(Relay);
+  applyChanges(m_storeFollower.onWatched(Changes.value()),
+               Changes.value().m_revision, RecentlyUnavailable);
+  if (!Changes.value().m_changes.empty())
+    co_await sleep(watchPause(
+        m_core.m_gatewayCount, m_leaderClaim.claimed() || Coordinator,
+        std::min(m_core.m_settings.m_drainLimit,
+                 m_core.m_settings.m_configurationLimit)));
+  co_return true;
+}
+
+/// Keeps the configuration, the endpoints and the gateways up to date, with a
+/// single watch over all keys or with the relays of a coordinator.
 asio::awaitable<void> Gateway::watchStore() {
   Duration Backoff = MinStoreBackoff;
   for (;;) {
-    Result<std::uint64_t> ListRevision = co_await listStore();
-    if (!ListRevision) {
+    m_storeFollower.onReadStarted();
+    Result<std::uint64_t> Revision = co_await listStore();
+    if (!Revision) {
       co_await sleep(Backoff);
       Backoff = std::min<Duration>(2 * Backoff, MaxStoreBackoff);
       continue;
     }
     Backoff = MinStoreBackoff;
-    std::uint64_t LastRevision = ListRevision.value();
+    m_storeFollower.onRead(Revision.value());
     const TimePoint RelistAt = clockNow() + RelistInterval;
     while (clockNow() < RelistAt) {
-      Result<StoreChanges> Changes =
-          co_await m_store.watch("", LastRevision, WatchTimeout);
-      onStoreResult(Changes.has_value(), "watch");
-      if (!Changes) {
-        // The next watch returns the missed changes from the store's history,
-        // or reports that the history no longer has them.
-        co_await sleep(Backoff);
-        Backoff = std::min<Duration>(2 * Backoff, MaxStoreBackoff);
+      if (co_await awaitRelayEnd())
         continue;
-      }
-      Backoff = MinStoreBackoff;
-      if (Changes.value().m_historyLost)
+      if (!co_await watchOnce(Backoff))
         break;
-      applyChanges(Changes.value());
-      LastRevision = Changes.value().m_revision;
-      if (!Changes.value().m_changes.empty())
-        co_await sleep(
-            watchPause(m_core.m_gatewayCount, m_leaderClaim.claimed(),
-                       std::min(m_core.m_settings.m_drainLimit,
-                                m_core.m_settings.m_configurationLimit)));
     }
   }
 }
 
+void Gateway::onRelay(const StoreRelay &Relay) {
+  const Member *Sender = m_peers.audience().find(Relay.m_sender);
+  if (!Sender || !m_peers.audience().isCoordinator(Relay.m_sender))
+    return;
+  const std::optional<std::vector<StoreChange>> Changes =
+      m_storeFollower.onRelay(Relay, clockNow());
+  if (!Changes) {
+    m_core.m_metrics->count("relay_gap");
+    m_relayTimer.cancel();
+    return;
+  }
+  applyChanges(*Changes, Relay.m_to, Relay.m_recentlyUnavailable);
+}
+
+void Gateway::onMessage(const SchedulingMessage &Message) {
+  const TimePoint Now = clockNow();
+  if (const auto *Request = std::get_if<ScheduleRequest>(&Message))
+    m_scheduler.onRequest(*Request, Now);
+  else if (const auto *Reply = std::get_if<ScheduleReply>(&Message))
+    m_schedulerClient.onReply(*Reply, Now);
+  else if (const auto *Update = std::get_if<AttemptUpdate>(&Message))
+    m_scheduler.onUpdate(*Update, Now);
+  else if (const auto *Tickets = std::get_if<OpenTickets>(&Message))
+    m_scheduler.onOpenTickets(*Tickets, Now);
+  else if (const auto *Relay = std::get_if<StoreRelay>(&Message))
+    onRelay(*Relay);
+}
+
 // --- Members and leadership -----------------------------------------------
 
 /// Applies the gateways' keys as of Revision: members and placement leader.
@@ -423,6 +498,12 @@
   // would send a claim of their own.
   std::uniform_int_distribution<int> Jitter(0, 150);
   co_await sleep(Milliseconds(Jitter(m_core.m_random)));
+  co_await sleep(std::max<Duration>(
+      Duration::zero(), m_core.m_startedAt + StartClaimDelay - clockNow()));
+  // The leader of a large fleet does most work, and coordinators have the
+  // largest VMs and the newest loads.
+  if (m_peers.audience().isLarge() && !m_peers.audience().isCoordinator())
+    co_await sleep(DependentClaimDelay);
   for (int Attempt = 0; Attempt < 20 && m_leaderClaim.lease() == 0; ++Attempt)
     co_await sleep(Milliseconds(100));
   if (m_leaderName.empty() && m_leaderClaim.lease() != 0 &&
@@ -459,19 +540,30 @@
 }
 
 void Gateway::scheduleAnnouncement() {
-  m_announcementTimer.expires_after(m_peers.announceDelay());
+  m_announcementTimer.expires_after(AnnounceDelay);
   m_announcementTimer.async_wait([this](std::error_code Ec) {
     if (!Ec)
       m_peers.announceHoldings(fencingToken(), clockNow());
   });
 }
 
+Duration Gateway::ownReportInterval() const {
+  const bool Frequent = m_peers.audience().isCoordinator() || isLeader();
+  return Frequent ? Duration(MinReportInterval)
+                  : reportInterval(m_core.m_gatewayCount);
+}
+
 asio::awaitable<void> Gateway::sendReports() {
   for (;;) {
-    co_await sleep(reportInterval(m_core.m_gatewayCount));
+    co_await sleep(ownReportInterval());
     const TimePoint Now = clockNow();
     m_core.m_demand.update(Now);
     m_peers.send(fencingToken(), Now);
+    m_schedulerClient.sendOpenTickets();
+    if (Now - m_fleetLoadsSentAt >= FleetLoadInterval) {
+      m_fleetLoadsSentAt = Now;
+      m_peers.sendFleetLoads(Now);
+    }
     if (isLeader())
       m_placementLeader.step(Now);
   }
@@ -488,10 +580,13 @@
     if (Count % 4 != 0)
       continue;
     m_core.m_endpoints.expire(Now);
+    m_scheduler.expire(reportLifetime(m_core.m_gatewayCount), Now);
     m_core.m_pool.expire(Now);
     m_storePool.expire(Now);
     m_core.m_metrics->gauge("waiting",
                             static_cast<double>(m_core.m_queue.size()));
+    m_core.m_metrics->gauge("remote_requests",
+                            static_cast<double>(m_scheduler.size()));
     m_core.m_metrics->gauge("caller_connections",
                             static_cast<double>(m_callerListener.size()));
     m_core.m_metrics->gauge("leads", isLeader() ? 1 : 0);
--- a/src/libgateway/gateway.h
+++ b/src/libgateway/gateway.h
@@ -7,7 +7,10 @@
 #include "libgateway/core.h"
 #include "libgateway/peers.h"
 #include "libgateway/placementleader.h"
+#include "libgateway/scheduler.h"
+#include "libgateway/schedulerclient.h"
 #include "libgateway/store.h"
+#include "libgateway/storerelay.h"
 #include "libgateway/watchpause.h"
 
 #include <asio/awaitable.hpp>
@@ -33,6 +36,11 @@
 /// further failure.
 inline constexpr Milliseconds MinStoreBackoff{100};
 inline constexpr Milliseconds MaxStoreBackoff{500};
+/// A gateway that just started claims leadership only after this time, when it
+/// knows the other gateways.
+inline constexpr Milliseconds StartClaimDelay{400};
+/// Additional delay of a claim by a gateway that is no coordinator.
+inline constexpr Milliseconds DependentClaimDelay{500};
 /// Renewals of the lease within its duration. The leader renews more often,
 /// because it can give no orders without its lease; if another member loses its
 /// lease, its peers only miss it for a second.
@@ -86,7 +94,13 @@
   void applyEndpoints(const StoreRange &List);
   void applyEndpoint(const StoreChange &Change, bool RecentlyUnavailable);
   void applyGateways(std::uint64_t Revision);
-  void applyChanges(const StoreChanges &Changes);
+  asio::awaitable<bool> awaitRelayEnd();
+  asio::awaitable<bool> watchOnce(Duration &Backoff);
+  void applyChanges(const std::vector<StoreChange> &Changes,
+                    std::uint64_t Revision, bool RecentlyUnavailable);
+  void onMessage(const SchedulingMessage &Message);
+  void onRelay(const StoreRelay &Relay);
+  Duration ownReportInterval() const;
   void onStoreResult(bool Success, const char *Operation);
   bool storeRecentlyUnavailable(TimePoint Now) const;
   void schedulePlacement();
@@ -107,6 +121,11 @@
   std::string m_settingsPath;
   CallerListener m_callerListener;
   Peers m_peers;
+  Scheduler m_scheduler;
+  SchedulerClient m_schedulerClient;
+  StoreFollower m_storeFollower;
+  asio::steady_timer m_relayTimer; ///< Cancelled when relays have a gap.
+  TimePoint m_fleetLoadsSentAt{};
   LeaderClaim m_leaderClaim;
   PlacementLeader m_placementLeader;
   asio::signal_set m_signals;
--- a/src/libgateway/peeraudience.h
+++ b/src/libgateway/peeraudience.h
@@ -1,18 +1,19 @@
-// Selects which gateways receive this gateway's load reports, and whose direct
-// reports it uses.
+// Selects which gateways schedule requests for the others, which gateways
+// receive this gateway's reports, and whose reports it uses.
 //
 // Load pattern: many gateways choose among the same endpoints within the time
-// of one prompt's prefill. Load updates are useful only if sent immediately,
-// but sending every update to every gateway costs messages that grow with the
-// square of the fleet size. Direct peers, the gateways of the same failure
-// domain, therefore exchange updates immediately; the leader of a large fleet
-// collects all loads and periodically sends totals per failure domain. In a
-// small fleet all gateways are direct peers.
+// of one prompt's prefill, and each of them sees only a few requests per
+// second. In a small fleet every gateway sends its load changes to all others.
+// In a large one that would cost messages that grow with the square of the
+// fleet size, so a few coordinators per region schedule the requests of all
+// gateways of their region and exchange their load changes with each other.
 #ifndef PRIMROSEWORKS_LIBGATEWAY_PEERAUDIENCE_H
 #define PRIMROSEWORKS_LIBGATEWAY_PEERAUDIENCE_H
 
 #include "primroseworks/time.h"
 
+#include <map>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -23,48 +24,60 @@
   std::string m_name;
   std::string m_address; ///< IP address; all gateways use the same port.
   std::string m_failureDomain;
+  double m_cpuShare = 1; ///< Cores that its VM may use.
 };
 
 /// A fleet is small with at most this many other gateways.
 inline constexpr std::size_t MaxSmallFleetPeers = 10;
-/// The other gateways of the local failure domain are direct peers if there are
-/// at most this many.
-inline constexpr std::size_t MaxDirectDomainPeers = 24;
-/// Gateways, in rotation, that also receive a report while the leader is
-/// unknown or its totals are missing.
-inline constexpr std::size_t RotatingReceivers = 10;
+/// Each failure domain has one coordinator, and each region at least this many,
+/// so that a region keeps one when it loses a VM.
+inline constexpr std::size_t MinCoordinatorsPerRegion = 2;
 
 class PeerAudience {
 public:
-  PeerAudience(std::string Name, std::string Domain)
-      : m_name(std::move(Name)), m_domain(std::move(Domain)) {}
+  /// Regions maps failure domains to regions.
+  PeerAudience(std::string Name, std::string Domain,
+               std::map<std::string, std::string> Regions);
   /// Sets the gateways of the fleet; the list may include this one.
   void setMembers(std::vector<Member> Members);
   /// All gateways except this one.
   const std::vector<Member> &members() const { return m_members; }
   bool isLarge() const { return m_members.size() > MaxSmallFleetPeers; }
-  /// Whether the local failure domain has few enough gateways for immediate
-  /// load updates among all of them.
-  bool domainIsDirect() const { return m_domainIsDirect; }
-  /// Whether the gateway called Name sends its loads to this one directly.
+  /// Whether this gateway is a coordinator; false in a small fleet.
+  bool isCoordinator() const { return isCoordinator(m_name); }
+  bool isCoordinator(const std::string &Name) const {
+    return m_coordinators.count(Name) > 0;
+  }
+  std::size_t coordinatorCount() const { return m_coordinators.size(); }
+  /// The coordinators of the local region, in the order in which requests with
+  /// this hash use them. All gateways of a region agree on the order.
+  std::vector<std::string> schedulers(std::uint64_t Hash) const;
+  /// Whether this gateway uses the loads in Name's reports.
   bool isDirectPeer(const std::string &Name) const;
+  /// Receivers of immediate load changes: all other gateways of a small fleet,
+  /// the other coordinators of a large one.
   std::vector<const Member *> directPeers() const;
-  /// Returns the receivers of this gateway's regular report. HasTotals: the
-  /// leader's totals are current, so no report is sent to other gateways.
+  /// Receivers of this gateway's regular report. ForAll: it contains loads or
+  /// strikes that all coordinators must know.
   std::vector<const Member *> receivers(const std::string &Leader,
-                                        bool HasTotals);
-  /// Returns the failure domain of a gateway; empty if the gateway is unknown.
-  std::string domainOf(const std::string &Name) const;
+                                        bool ForAll) const;
+  /// The other gateways of the local failure domain that are no coordinators;
+  /// empty unless this gateway is a coordinator.
+  std::vector<const Member *> dependents() const;
+  /// Returns null if the gateway is unknown or this one.
+  const Member *find(const std::string &Name) const;
 
 private:
-  bool isDirectPeer(const Member &M) const;
+  std::string regionOf(const std::string &Domain) const;
+  void selectCoordinators(const std::vector<Member> &All);
 
   std::string m_name;
   std::string m_domain;
-  std::vector<Member> m_members; ///< Excludes this gateway.
-  bool m_domainIsDirect = true;
-  /// Next gateway of the rotation: an index into m_members, modulo its size.
-  std::size_t m_nextInRotation = 0;
+  std::map<std::string, std::string> m_regions; ///< By failure domain.
+  std::vector<Member> m_members;                ///< Excludes this gateway.
+  std::set<std::string> m_coordinators;         ///< Empty in a small fleet.
+  /// The coordinators of the local region; includes this one if it is one.
+  std::vector<std::string> m_regionCoordinators;
 };
 
 } // namespace primroseworks::gateway
--- a/src/libgateway/peerreport.cpp
+++ b/src/libgateway/peerreport.cpp
@@ -53,11 +53,8 @@
     Out["k"] = R.m_leaderToken;
   if (R.m_partial)
     Out["p"] = true;
-  if (!R.m_domainLoads.empty()) {
-    Json &Totals = Out["f"] = Json::object();
-    for (const auto &[Domain, Loads] : R.m_domainLoads)
-      Totals[Domain] = encodeLoads(Loads);
-  }
+  if (!R.m_fleetLoads.empty())
+    Out["f"] = encodeLoads(R.m_fleetLoads);
   if (!R.m_demands.empty()) {
     Json &Demands = Out["d"] = Json::array();
     for (const PeerModelDemand &D : R.m_demands)
@@ -99,9 +96,7 @@
   R.m_loads = decodeLoads(In.at("l"));
   R.m_leaderToken = In.value("k", std::uint64_t{0});
   R.m_partial = In.value("p", false);
-  const Json Totals = In.value("f", Json::object());
-  for (auto It = Totals.begin(); It != Totals.end(); ++It)
-    R.m_domainLoads[It.key()] = decodeLoads(It.value());
+  R.m_fleetLoads = decodeLoads(In.value("f", Json::array()));
   for (const Json &Row : In.value("d", Json::array()))
     R.m_demands.push_back({Row.at(0).get<std::string>(),
                            {Row.at(1).get<double>(), Row.at(2).get<double>(),
--- a/src/libgateway/peerreport.h
+++ b/src/libgateway/peerreport.h
@@ -10,7 +10,6 @@
 #include "primroseworks/error.h"
 
 #include <algorithm>
-#include <map>
 #include <string>
 #include <vector>
 
@@ -54,9 +53,8 @@
   std::vector<PeerEndpointLoad> m_loads;
   /// Contains only the loads that changed; the others keep their last value.
   bool m_partial = false;
-  /// From the leader of a large fleet: total load of the gateways of each
-  /// failure domain.
-  std::map<std::string, std::vector<PeerEndpointLoad>> m_domainLoads;
+  /// From a coordinator: total load of all gateways.
+  std::vector<PeerEndpointLoad> m_fleetLoads;
   std::vector<PeerModelDemand> m_demands;
   std::vector<PeerWantedAdapter> m_wantedAdapters;
   std::vector<ArtifactName>
@@ -70,8 +68,11 @@
 /// Report interval per gateway of the fleet; limits the reports that a leader
 /// receives to 250 per second.
 inline constexpr Milliseconds ReportIntervalPerMember{4};
-/// The leader of a large fleet sends its totals with every n-th report.
-inline constexpr int ReportsPerTotals = 3;
+/// Interval at which a coordinator sends the total loads to the gateways of its
+/// failure domain, which choose by them if no coordinator answers.
+inline constexpr Milliseconds FleetLoadInterval{1000};
+/// Time for which these totals remain valid.
+inline constexpr Milliseconds FleetLoadLifetime{4000};
 /// A sender's loads and demands are discarded after this many report
 /// intervals without a report.
 inline constexpr int MaxMissedReports = 4;
--- a/src/libgateway/peerreport_test.cpp
+++ b/src/libgateway/peerreport_test.cpp
@@ -23,7 +23,7 @@
   R.m_holdings = {{"e1", 77, 12, {HeldModel{"m1", 3, {"a1", "a2"}}}}};
   R.m_strikes = {{~0ULL, 5}};
   R.m_leaderToken = 41;
-  R.m_domainLoads["d1"] = {{"e2", {7, 9000, 300}}};
+  R.m_fleetLoads = {{"e2", {7, 9000, 300}}};
   return R;
 }
 
@@ -40,7 +40,7 @@
   EXPECT_EQ(R.value().m_holdings[0].m_held[0].m_adapters.size(), 2U);
   EXPECT_EQ(R.value().m_strikes[0].m_fingerprint, ~0ULL);
   EXPECT_EQ(R.value().m_leaderToken, 41U);
-  EXPECT_EQ(R.value().m_domainLoads["d1"][0].m_load.m_requests, 7U);
+  EXPECT_EQ(R.value().m_fleetLoads.at(0).m_load.m_requests, 7U);
 }
 
 // Guards against a datagram of another version, or from an unrelated sender,
--- a/src/libgateway/peers.cpp
+++ b/src/libgateway/peers.cpp
@@ -2,6 +2,7 @@
 #include "libgateway/peers.h"
 #include "libgateway/log.h"
 
+#include <algorithm>
 #include <asio/redirect_error.hpp>
 #include <asio/use_awaitable.hpp>
 
@@ -9,14 +10,15 @@
 
 namespace {
 
-/// Peer name under which the total load of a failure domain is stored.
-std::string domainPeer(const std::string &Domain) { return "domain/" + Domain; }
+/// Peer name under which the fleet's total load is stored.
+constexpr const char *FleetPeer = "fleet";
 
 } // namespace
 
 Peers::Peers(Core &Shared)
     : m_core(Shared), m_socket(Shared.m_io),
-      m_audience(Shared.m_settings.m_vm, Shared.m_settings.m_failureDomain),
+      m_audience(Shared.m_settings.m_vm, Shared.m_settings.m_failureDomain,
+                 Shared.m_settings.m_regions),
       m_loadUpdateTimer(Shared.m_io) {
   m_core.m_onLoadChanged = [this](const std::string &Endpoint) {
     onLoadChanged(Endpoint);
@@ -49,9 +51,25 @@
 }
 
 void Peers::setMembers(std::vector<Member> Members) {
+  const bool WasCoordinator = m_audience.isCoordinator();
+  const bool WasLarge = m_audience.isLarge();
   m_audience.setMembers(std::move(Members));
   m_core.m_gatewayCount =
       static_cast<unsigned>(m_audience.members().size() + 1);
+  m_core.m_chooserCount =
+      m_audience.isLarge() && m_audience.isCoordinator()
+          ? static_cast<unsigned>(m_audience.coordinatorCount())
+          : m_core.m_gatewayCount;
+  if (m_audience.isCoordinator() == WasCoordinator &&
+      m_audience.isLarge() == WasLarge)
+    return;
+  // The loads of the former role would be counted twice.
+  m_core.m_endpoints.removeAllPeerLoads();
+  decisionlog::line(LogClass::Lifecycle, "coordinator_role")
+      .number("coordinator", m_audience.isCoordinator() ? 1 : 0)
+      .number("gateways", m_core.m_gatewayCount)
+      .number("coordinators",
+              static_cast<std::int64_t>(m_audience.coordinatorCount()));
 }
 
 void Peers::setLeader(const std::string &Name, std::uint64_t Token) {
@@ -61,30 +79,15 @@
   m_leaderToken = Token;
 }
 
-bool Peers::hasTotals(TimePoint Now) const {
-  return m_totalsAt != TimePoint{} &&
-         Now - m_totalsAt <
-             ReportsPerTotals * reportLifetime(m_core.m_gatewayCount);
-}
-
-/// Adds up the reported loads of the gateways of each failure domain. Pending
-/// prefills are left out: they complete long before the totals arrive.
-std::map<std::string, std::vector<PeerEndpointLoad>>
-Peers::totalDomainLoads() const {
-  std::map<std::string, std::map<std::string, EndpointLoad>> Totals;
+/// The loads that this gateway reports: all of its own except those that
+/// coordinators report.
+std::vector<PeerEndpointLoad> Peers::ownLoads() const {
+  std::vector<PeerEndpointLoad> Out;
   for (const auto &[Id, E] : m_core.m_endpoints.all()) {
-    if (E.m_localLoad.m_requests > 0)
-      Totals[m_core.m_settings.m_failureDomain][Id] += E.m_localLoad;
-    for (const auto &[Name, Peer] : E.m_peerLoads)
-      if (Peer.m_load.m_requests > 0)
-        Totals[m_audience.domainOf(Name)][Id] += Peer.m_load;
+    const EndpointLoad Load = E.m_localLoad.without(E.m_coordinatedLoad);
+    if (Load.m_requests > 0)
+      Out.push_back({Id, Load});
   }
-  std::map<std::string, std::vector<PeerEndpointLoad>> Out;
-  for (auto &[Domain, Loads] : Totals)
-    for (auto &[Id, Load] : Loads) {
-      Load.m_pendingPrefillTokens = 0;
-      Out[Domain].push_back({Id, Load});
-    }
   return Out;
 }
 
@@ -104,9 +107,7 @@
 
 PeerReport Peers::localReport(std::uint64_t LeaderToken, TimePoint Now) {
   PeerReport R = emptyReport(LeaderToken);
-  for (const auto &[Id, E] : m_core.m_endpoints.all())
-    if (E.m_localLoad.m_requests > 0)
-      R.m_loads.push_back({Id, E.m_localLoad});
+  R.m_loads = ownLoads();
   m_core.m_demand.fill(R, m_core.m_queue);
   for (const auto &[Fingerprint, Crash] : m_core.m_suspects.take())
     m_strikes.push_back({{Fingerprint, Crash}, Now});
@@ -150,36 +151,57 @@
     sendBytes(Bytes, *M);
 }
 
+void Peers::sendMessage(const std::string &Name,
+                        const SchedulingMessage &Message) {
+  if (const Member *M = m_audience.find(Name))
+    sendBytes(encodeSchedulingMessage(Message), *M);
+}
+
+void Peers::relay(const StoreRelay &Message) {
+  const std::vector<const Member *> To = m_audience.dependents();
+  if (To.empty())
+    return;
+  const std::string Bytes = encodeSchedulingMessage(Message);
+  for (const Member *M : To)
+    sendBytes(Bytes, *M);
+}
+
 void Peers::send(std::uint64_t LeaderToken, TimePoint Now) {
-  PeerReport Report = localReport(LeaderToken, Now);
+  const PeerReport Report = localReport(LeaderToken, Now);
   m_core.m_fleetDemand.onReport(Report, Now);
   m_changedLoads.clear();
-  m_reportedLoads.clear();
-  for (const PeerEndpointLoad &L : Report.m_loads)
-    m_reportedLoads[L.m_endpoint] = L.m_load;
-  if (LeaderToken == 0 || !m_audience.isLarge()) {
-    sendTo(Report, m_audience.receivers(m_leader, hasTotals(Now)));
-    return;
-  }
-  if (m_totalsAt != TimePoint{}) {
-    // As leader, this gateway receives the loads directly from every member's
-    // own reports instead of totals.
-    m_totalsAt = TimePoint{};
-    m_core.m_endpoints.removeAllPeerLoads();
-  }
-  // Only the leader, this gateway, uses the demand.
-  Report.m_demands.clear();
-  Report.m_usedAdapters.clear();
-  if (--m_reportsUntilTotals > 0) {
-    sendTo(Report, m_audience.directPeers());
+  // Coordinators must also hear that there are no loads any more.
+  const bool ForAll =
+      !Report.m_loads.empty() || m_sentLoads || !Report.m_strikes.empty();
+  m_sentLoads = !Report.m_loads.empty();
+  sendTo(Report, m_audience.receivers(m_leader, ForAll));
+}
+
+void Peers::sendFleetLoads(TimePoint Now) {
+  const std::vector<const Member *> To = m_audience.dependents();
+  if (To.empty())
     return;
+  PeerReport Report = emptyReport(0);
+  Report.m_partial = true;
+  for (const auto &[Id, E] : m_core.m_endpoints.all()) {
+    EndpointLoad Load = E.load();
+    // Pending prefills complete before the totals are used.
+    Load.m_pendingPrefillTokens = 0;
+    if (Load.m_requests > 0)
+      Report.m_fleetLoads.push_back({Id, Load});
   }
-  m_reportsUntilTotals = ReportsPerTotals;
-  Report.m_domainLoads = totalDomainLoads();
-  std::vector<const Member *> All;
-  for (const Member &M : m_audience.members())
-    All.push_back(&M);
-  sendTo(Report, All);
+  const auto AddRecent = [&](std::vector<RecentStrike> &Strikes) {
+    Strikes.erase(std::remove_if(Strikes.begin(), Strikes.end(),
+                                 [Now](const RecentStrike &S) {
+                                   return Now - S.m_at > StrikeRepeatPeriod;
+                                 }),
+                  Strikes.end());
+    for (const RecentStrike &S : Strikes)
+      Report.m_strikes.push_back(S.m_strike);
+  };
+  AddRecent(m_strikes);
+  AddRecent(m_peerStrikes);
+  sendTo(Report, To);
 }
 
 void Peers::announceHoldings(std::uint64_t LeaderToken, TimePoint Now) {
@@ -194,12 +216,8 @@
     if (const Endpoint *E = m_core.m_endpoints.find(Id))
       Report.m_holdings.push_back(holding(*E));
   m_unannouncedHoldings.clear();
-  if (Report.m_holdings.empty())
-    return;
-  std::vector<const Member *> All;
-  for (const Member &M : m_audience.members())
-    All.push_back(&M);
-  sendTo(Report, All);
+  if (!Report.m_holdings.empty())
+    sendTo(Report, m_audience.directPeers());
 }
 
 void Peers::sendToLeader(TimePoint Now) {
@@ -236,39 +254,30 @@
   Report.m_partial = true;
   for (const std::string &Id : m_changedLoads)
     if (const Endpoint *E = m_core.m_endpoints.find(Id))
-      Report.m_loads.push_back({Id, E->m_localLoad});
+      Report.m_loads.push_back(
+          {Id, E->m_localLoad.without(E->m_coordinatedLoad)});
   m_changedLoads.clear();
   sendTo(Report, m_audience.directPeers());
 }
 
-/// Applies the totals of failure domains whose gateways do not send their loads
-/// directly.
-void Peers::applyDomainLoads(const PeerReport &Report, TimePoint Now) {
-  m_totalsAt = Now;
-  for (const auto &[Domain, Region] : m_core.m_settings.m_regions)
-    m_core.m_endpoints.removePeerLoads(domainPeer(Domain));
-  for (const auto &[Domain, Loads] : Report.m_domainLoads) {
-    const bool Local = Domain == m_core.m_settings.m_failureDomain;
-    if (Local && m_audience.domainIsDirect())
-      continue;
-    for (const PeerEndpointLoad &L : Loads) {
-      // The local domain's totals include the loads that this VM reported.
-      const auto Reported = m_reportedLoads.find(L.m_endpoint);
-      m_core.m_endpoints.onPeerLoad(
-          domainPeer(Domain), L.m_endpoint,
-          Local && Reported != m_reportedLoads.end()
-              ? L.m_load.without(Reported->second)
-              : L.m_load,
-          Now + ReportsPerTotals * reportLifetime(m_core.m_gatewayCount));
-    }
+/// Applies the total loads that a coordinator sends to its dependents.
+void Peers::applyFleetLoads(const PeerReport &Report, TimePoint Now) {
+  m_core.m_endpoints.removePeerLoads(FleetPeer);
+  for (const PeerEndpointLoad &L : Report.m_fleetLoads) {
+    // The totals include the loads of this VM.
+    const Endpoint *E = m_core.m_endpoints.find(L.m_endpoint);
+    const EndpointLoad Others = E ? L.m_load.without(E->m_localLoad) : L.m_load;
+    m_core.m_endpoints.onPeerLoad(FleetPeer, L.m_endpoint, Others,
+                                  Now + FleetLoadLifetime);
   }
 }
 
 void Peers::applyLoads(const PeerReport &Report, TimePoint Now) {
-  if (!Report.m_domainLoads.empty())
-    applyDomainLoads(Report, Now);
-  if (hasTotals(Now) && !m_audience.isDirectPeer(Report.m_sender))
-    return; // The totals already include these loads.
+  if (!Report.m_fleetLoads.empty() && m_audience.isLarge() &&
+      !m_audience.isCoordinator())
+    applyFleetLoads(Report, Now);
+  if (!m_audience.isDirectPeer(Report.m_sender))
+    return;
   if (!Report.m_partial)
     m_core.m_endpoints.removePeerLoads(Report.m_sender);
   for (const PeerEndpointLoad &L : Report.m_loads)
@@ -288,12 +297,14 @@
   for (const PeerHolding &H : Report.m_holdings)
     m_core.m_endpoints.onAnnouncedHoldings(H.m_endpoint, H.m_incarnation,
                                            H.m_orders, H.m_held, Now);
-  for (const PeerStrike &S : Report.m_strikes)
+  for (const PeerStrike &S : Report.m_strikes) {
     m_core.m_suspects.addFromPeer(S.m_fingerprint, S.m_crash, Now);
+    if (m_audience.isCoordinator())
+      m_peerStrikes.push_back({S, Now});
+  }
   if (!Report.m_partial)
     m_core.m_fleetDemand.onReport(Report, Now);
-  const bool HasLoads =
-      !Report.m_loads.empty() || !Report.m_domainLoads.empty();
+  const bool HasLoads = !Report.m_loads.empty() || !Report.m_fleetLoads.empty();
   if (!Report.m_holdings.empty() ||
       (HasLoads && Now - m_dispatchedAt >= MinDispatchInterval)) {
     m_dispatchedAt = Now;
@@ -315,16 +326,37 @@
       m_core.m_metrics->count("peer_receive_failed");
       continue;
     }
-    Result<PeerReport> Report = decodePeerReport(Buffer.substr(0, N));
-    if (!Report) {
-      m_core.m_metrics->count("peer_report_unreadable");
-      decisionlog::line(LogClass::KnownState, "peer_report_unreadable")
-          .text("from", From.address().to_string())
-          .text("error", Report.error().m_message);
-      continue;
-    }
-    apply(Report.value(), std::chrono::steady_clock::now());
+    const std::string Bytes = Buffer.substr(0, N);
+    if (isSchedulingMessage(Bytes))
+      onMessageBytes(Bytes, From.address().to_string());
+    else
+      onReportBytes(Bytes, From.address().to_string());
+  }
+}
+
+void Peers::onReportBytes(const std::string &Bytes, const std::string &From) {
+  Result<PeerReport> Report = decodePeerReport(Bytes);
+  if (!Report) {
+    m_core.m_metrics->count("peer_report_unreadable");
+    decisionlog::line(LogClass::KnownState, "peer_report_unreadable")
+        .text("from", From)
+        .text("error", Report.error().m_message);
+    return;
+  }
+  apply(Report.value(), std::chrono::steady_clock::now());
+}
+
+void Peers::onMessageBytes(const std::string &Bytes, const std::string &From) {
+  Result<SchedulingMessage> Message = decodeSchedulingMessage(Bytes);
+  if (!Message) {
+    m_core.m_metrics->count("scheduling_message_unreadable");
+    decisionlog::line(LogClass::KnownState, "scheduling_message_unreadable")
+        .text("from", From)
+        .text("error", Message.error().m_message);
+    return;
   }
+  if (m_onMessage)
+    m_onMessage(std::move(Message.value()));
 }
 
 } // namespace primroseworks::gateway
--- a/src/libgateway/peers.h
+++ b/src/libgateway/peers.h
@@ -7,6 +7,7 @@
 #include "libgateway/core.h"
 #include "libgateway/peeraudience.h"
 #include "libgateway/peerreport.h"
+#include "libgateway/schedulingmessage.h"
 
 #include <asio/awaitable.hpp>
 #include <asio/ip/udp.hpp>
@@ -22,10 +23,8 @@
 
 /// Load changes within this time are sent in one datagram.
 inline constexpr Milliseconds LoadUpdateDelay{4};
-/// Changes of engines' holdings within this time are sent in one datagram, in a
-/// small and in a large fleet.
+/// Changes of engines' holdings within this time are sent in one datagram.
 inline constexpr Milliseconds AnnounceDelay{3};
-inline constexpr Milliseconds LargeFleetAnnounceDelay{60};
 /// Minimum interval between two attempts to dispatch waiting requests that are
 /// triggered by load reports.
 inline constexpr Milliseconds MinDispatchInterval{10};
@@ -53,9 +52,18 @@
   /// Sends the engines' holdings that changed since the last announcement. In a
   /// small fleet this is a regular report.
   void announceHoldings(std::uint64_t LeaderToken, TimePoint Now);
-  /// Time for which changes of holdings are collected into one announcement.
-  Duration announceDelay() const {
-    return m_audience.isLarge() ? LargeFleetAnnounceDelay : AnnounceDelay;
+  /// Sends the total loads to the gateways that depend on this coordinator.
+  void sendFleetLoads(TimePoint Now);
+  /// Sends a message to a gateway; does nothing if it is unknown.
+  void sendMessage(const std::string &Name, const SchedulingMessage &Message);
+  /// Sends store changes to the gateways that depend on this coordinator.
+  void relay(const StoreRelay &Message);
+  const PeerAudience &audience() const { return m_audience; }
+  /// Start of this process as wall-clock ms; set by open().
+  std::uint64_t start() const { return m_start; }
+  /// Sets the receiver of scheduling messages.
+  void setOnMessage(std::function<void(SchedulingMessage)> OnMessage) {
+    m_onMessage = std::move(OnMessage);
   }
   /// Sends a report to its current receivers. LeaderToken: this VM's fencing
   /// token, 0 if it is not the leader.
@@ -76,11 +84,12 @@
   void onLoadChanged(const std::string &Endpoint);
   void sendChangedLoads();
   void applyLoads(const PeerReport &Report, TimePoint Now);
-  void applyDomainLoads(const PeerReport &Report, TimePoint Now);
-  std::map<std::string, std::vector<PeerEndpointLoad>> totalDomainLoads() const;
+  void applyFleetLoads(const PeerReport &Report, TimePoint Now);
+  void onReportBytes(const std::string &Bytes, const std::string &From);
+  void onMessageBytes(const std::string &Bytes, const std::string &From);
   PeerReport emptyReport(std::uint64_t LeaderToken);
   PeerHolding holding(const Endpoint &E) const;
-  bool hasTotals(TimePoint Now) const;
+  std::vector<PeerEndpointLoad> ownLoads() const;
   void sendBytes(const std::string &Bytes, const Member &To);
   void sendTo(const PeerReport &Report, const std::vector<const Member *> &To);
   Core &m_core;
@@ -88,11 +97,8 @@
   PeerAudience m_audience;
   std::string m_leader;
   std::uint64_t m_leaderToken = 0; ///< Of the most recent known leader.
-  int m_reportsUntilTotals = 0;    ///< Until this leader sends totals again.
   TimePoint m_dispatchedAt{};      ///< Last dispatch triggered by a report.
-  TimePoint m_totalsAt{};          ///< When the leader's totals last arrived.
-  /// Local loads as of the last regular report.
-  std::map<std::string, EndpointLoad> m_reportedLoads;
+  bool m_sentLoads = false;        ///< The last regular report contained loads.
   std::set<std::string> m_changedLoads; ///< Endpoints with unsent load changes.
   asio::steady_timer m_loadUpdateTimer;
   bool m_loadUpdatePending = false;
@@ -116,6 +122,9 @@
     TimePoint m_at{};
   };
   std::vector<RecentStrike> m_strikes; ///< Repeated for StrikeRepeatPeriod.
+  /// Strikes from reports, which a coordinator passes on to its dependents.
+  std::vector<RecentStrike> m_peerStrikes;
+  std::function<void(SchedulingMessage)> m_onMessage;
 };
 
 } // namespace primroseworks::gateway
--- a/src/libgateway/settings.cpp
+++ b/src/libgateway/settings.cpp
@@ -80,6 +80,9 @@
       {"vm.descriptors", SettingType::Number, "files", 64, 1e7,
        [](S &O, Str, double V) { O.m_descriptors = static_cast<unsigned>(V); },
        [](const S &O) { return shown(O.m_descriptors); }},
+      {"vm.cpu-share", SettingType::Number, "cores", 0.001, 1024,
+       [](S &O, Str, double V) { O.m_cpuShare = V; },
+       [](const S &O) { return shown(O.m_cpuShare); }},
       {"listen.callers", SettingType::Address, "IP:PORT", 0, 0,
        [](S &O, Str T, double) { O.m_callers = T; },
        [](const S &O) { return O.m_callers; }},
@@ -132,8 +135,9 @@
 
 /// Settings that have a default; all others are required.
 bool hasDefault(const std::string &Key) {
-  return Key == "vm.descriptors" || Key == "listen.metrics" ||
-         Key == "store.lease-ms" || Key == "store.drain-limit-ms" ||
+  return Key == "vm.descriptors" || Key == "vm.cpu-share" ||
+         Key == "listen.metrics" || Key == "store.lease-ms" ||
+         Key == "store.drain-limit-ms" ||
          Key == "store.configuration-limit-ms" || Key == "stop.limit-s" ||
          Key.rfind("retries.", 0) == 0;
 }
--- a/src/libgateway/settings.h
+++ b/src/libgateway/settings.h
@@ -29,6 +29,7 @@
   Milliseconds m_stopLimit{8000}; ///< From SIGTERM until the process is killed.
   RetryLimit m_retries;
   unsigned m_descriptors = 1024; ///< Maximum number of open files and sockets.
+  double m_cpuShare = 1;         ///< Cores that this VM may use.
 };
 
 /// One row of the table of settings, for --check and the documentation.
--- /dev/null
+++ b/src/libgateway/storerelay.cpp
@@ -0,0 +1,90 @@
+// Splitting and applying of relayed store changes.
+#include "libgateway/storerelay.h"
+
+#include <algorithm>
+
+namespace primroseworks::gateway {
+
+namespace {
+
+std::size_t sizeOf(const StoreChange &Change) {
+  return Change.m_key.size() + (Change.m_value ? Change.m_value->size() : 0);
+}
+
+} // namespace
+
+std::vector<StoreRelay> makeRelays(const std::string &Sender,
+                                   std::uint64_t From,
+                                   const StoreChanges &Changes,
+                                   bool RecentlyUnavailable) {
+  std::vector<StoreRelay> Out;
+  StoreRelay Next{Sender, From, From, RecentlyUnavailable, {}};
+  std::size_t Bytes = 0;
+  const std::vector<StoreChange> &All = Changes.m_changes;
+  for (std::size_t I = 0; I < All.size();) {
+    // Changes of one revision stay together.
+    std::size_t End = I;
+    std::size_t Size = 0;
+    bool TooLarge = false;
+    for (; End < All.size() && All[End].m_revision == All[I].m_revision;
+         ++End) {
+      Size += sizeOf(All[End]);
+      TooLarge = TooLarge || sizeOf(All[End]) > MaxRelayedValueBytes;
+    }
+    const std::uint64_t Revision = All[I].m_revision;
+    if (TooLarge || (Bytes + Size > MaxRelayBytes && Bytes > 0)) {
+      if (!Next.m_changes.empty())
+        Out.push_back(Next);
+      Next.m_from = TooLarge ? Revision : Next.m_to;
+      Next.m_to = Next.m_from;
+      Next.m_changes.clear();
+      Bytes = 0;
+    }
+    if (!TooLarge) {
+      Next.m_changes.insert(Next.m_changes.end(), All.begin() + I,
+                            All.begin() + End);
+      Next.m_to = Revision;
+      Bytes += Size;
+    }
+    I = End;
+  }
+  Next.m_to = std::max(Next.m_to, Changes.m_revision);
+  Out.push_back(std::move(Next));
+  return Out;
+}
+
+void StoreFollower::onRead(std::uint64_t Revision) {
+  m_reading = false;
+  m_missedChanges = false;
+  m_revision = Revision;
+}
+
+std::vector<StoreChange>
+StoreFollower::takeNew(const std::vector<StoreChange> &Changes,
+                       std::uint64_t To) {
+  std::vector<StoreChange> Out;
+  std::copy_if(
+      Changes.begin(), Changes.end(), std::back_inserter(Out),
+      [this](const StoreChange &C) { return C.m_revision > m_revision; });
+  m_revision = std::max(m_revision, To);
+  return Out;
+}
+
+std::vector<StoreChange> StoreFollower::onWatched(const StoreChanges &Changes) {
+  m_missedChanges = false;
+  return takeNew(Changes.m_changes, Changes.m_revision);
+}
+
+std::optional<std::vector<StoreChange>>
+StoreFollower::onRelay(const StoreRelay &Relay, TimePoint Now) {
+  if (m_reading)
+    return std::nullopt;
+  if (Relay.m_from > m_revision) {
+    m_missedChanges = true;
+    return std::nullopt;
+  }
+  m_relayValidUntil = Now + RelayTimeout;
+  return takeNew(Relay.m_changes, Relay.m_to);
+}
+
+} // namespace primroseworks::gateway
--- /dev/null
+++ b/src/libgateway/storerelay.h
@@ -0,0 +1,70 @@
+// Relay of store changes from a coordinator to the gateways of its failure
+// domain.
+//
+// Load pattern: models are moved all the time, each change wakes up every watch
+// of the store, and hundreds of gateways watch it. Only the coordinators watch
+// continuously and pass the changes on; a gateway watches itself while it
+// receives no relays, or after it missed one. No I/O.
+#ifndef PRIMROSEWORKS_LIBGATEWAY_STORERELAY_H
+#define PRIMROSEWORKS_LIBGATEWAY_STORERELAY_H
+
+#include "libgateway/schedulingmessage.h"
+#include "libgateway/store.h"
+
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace primroseworks::gateway {
+
+/// Timeout of a coordinator's watch, and so the longest interval between two
+/// relays while the store responds.
+inline constexpr Milliseconds CoordinatorWatchTimeout{500};
+/// A gateway watches the store itself when it got no relay for this long. The
+/// rest of the time within which a change must be in effect is for its own
+/// call.
+inline constexpr Milliseconds RelayTimeout{1200};
+
+/// Splits the changes after revision From into relays that fit in datagrams. A
+/// change that is too large is left out, so that the receivers notice a gap and
+/// read it themselves.
+std::vector<StoreRelay> makeRelays(const std::string &Sender,
+                                   std::uint64_t From,
+                                   const StoreChanges &Changes,
+                                   bool RecentlyUnavailable);
+
+/// Revision of a gateway's copy of the store, which its own watch and relays
+/// advance.
+class StoreFollower {
+public:
+  /// The copy is being read again: relays are ignored until onRead().
+  void onReadStarted() { m_reading = true; }
+  /// The copy is complete up to Revision.
+  void onRead(std::uint64_t Revision);
+  /// Returns the new ones of the changes that the gateway's own watch returned.
+  std::vector<StoreChange> onWatched(const StoreChanges &Changes);
+  /// Returns the new changes of a relay; nothing if changes before them are
+  /// missing.
+  std::optional<std::vector<StoreChange>> onRelay(const StoreRelay &Relay,
+                                                  TimePoint Now);
+  std::uint64_t revision() const { return m_revision; }
+  /// Whether relays keep the copy up to date.
+  bool followsRelay(TimePoint Now) const {
+    return !m_reading && !m_missedChanges && Now < m_relayValidUntil;
+  }
+  TimePoint relayValidUntil() const { return m_relayValidUntil; }
+
+private:
+  std::vector<StoreChange> takeNew(const std::vector<StoreChange> &Changes,
+                                   std::uint64_t To);
+
+  std::uint64_t m_revision = 0;
+  bool m_reading = true;
+  /// A relay showed that changes after m_revision are missing here.
+  bool m_missedChanges = false;
+  TimePoint m_relayValidUntil{};
+};
+
+} // namespace primroseworks::gateway
+
+#endif
