libgateway: a silent endpoint is left only for a reserved one

Change: FailoverProbe asks the coordinator for an endpoint that is free now; only a reserved one ends the silent attempt. A request that may not wait is not queued.

--- a/src/libgateway/core.cpp
+++ b/src/libgateway/core.cpp
@@ -39,7 +39,8 @@
     Query.m_excluded.clear();
   }
   Out.m_expectedWait = expectedWait(Query, Out.m_obstacle, Now);
-  if (Out.m_expectedWait > Limits.m_maxWait)
+  if (Out.m_expectedWait > Limits.m_maxWait ||
+      Limits.m_maxWait <= Duration::zero())
     return Out;
   Out.m_ticket =
       m_queue.add(std::move(Query), Out.m_obstacle, Limits.m_onTimeUntil, Now);
--- a/src/libgateway/exchange.cpp
+++ b/src/libgateway/exchange.cpp
@@ -195,6 +195,8 @@
     m_connection = nullptr;
     recordAttempt(Outcome, Now);
     releaseEndpoint(Now);
+    if (Outcome == AttemptOutcome::Delivered)
+      m_failover.reset();
     if (Outcome == AttemptOutcome::Delivered)
       co_return true;
     if (m_callerGone || Outcome == AttemptOutcome::CallerGone)
@@ -234,15 +236,18 @@
   return false;
 }
 
-/// Whether another endpoint could take the request at once. Takes nothing from
-/// the retry limit.
+/// Whether another endpoint takes the request at once; one that a coordinator
+/// granted stays reserved for it. Takes nothing from the retry limit.
 bool Exchange::canFailOver(TimePoint Now) {
   if (attemptsThatMayHaveRun() >= m_route->m_maxAttempts ||
       !m_core.retries(m_query.m_service).allows(m_core.m_gatewayCount, Now))
     return false;
   ChoiceQuery Query = m_query;
   Query.m_excluded.push_back(m_choice.m_endpoint);
-  return m_core.choose(Query, Now).m_obstacle == ChoiceObstacle::None;
+  Query.m_mayRevisit = false;
+  if (!m_failover)
+    m_failover = std::make_unique<FailoverProbe>(m_core);
+  return m_failover->poll(Query, Now);
 }
 
 /// Extends an attempt that timed out until another endpoint has capacity for
@@ -312,6 +317,11 @@
 asio::awaitable<bool> Exchange::acquireEndpoint() {
   m_placed = false;
   m_expectedWait = {};
+  const std::unique_ptr<FailoverProbe> Failover = std::move(m_failover);
+  if (const auto Reserved = Failover ? Failover->take() : std::nullopt) {
+    onGranted(Reserved->m_choice, Reserved->m_ticket);
+    co_return true;
+  }
   // Endpoints at which the request failed are tried again only if nothing was
   // sent to any of them: an endpoint that got the request may have run it.
   m_query.m_mayRevisit = m_sentAttempts == 0;
@@ -579,6 +589,7 @@
       NewEvents += Event->m_bytes;
     }
     if (!NewEvents.empty()) {
+      m_failover.reset();
       if (!m_prefillDone)
         recordFirstEvent();
       else
--- a/src/libgateway/exchange.h
+++ b/src/libgateway/exchange.h
@@ -4,7 +4,7 @@
 
 #include "libgateway/core.h"
 #include "libgateway/events.h"
-#include "libgateway/schedulerclient.h"
+#include "libgateway/failoverprobe.h"
 
 #include <asio/awaitable.hpp>
 #include <memory>
@@ -139,6 +139,7 @@
   /// VM does not choose itself.
   bool m_scheduleDecided = false;
   Choice m_choice;
+  std::unique_ptr<FailoverProbe> m_failover; ///< While the endpoint is silent.
   /// Expected wait for an endpoint when the request was last rejected.
   Duration m_expectedWait{};
   ConnectionPtr m_connection; ///< Used by the current attempt.
--- a/src/libgateway/scheduler_test.cpp
+++ b/src/libgateway/scheduler_test.cpp
@@ -1,5 +1,6 @@
 // Tests of the scheduling by coordinators: gateways and one or two coordinators
 // in one process, with a network that can lose messages.
+#include "libgateway/failoverprobe.h"
 #include "libgateway/scheduler.h"
 #include "libgateway/schedulerclient.h"
 
@@ -443,3 +444,42 @@
   EXPECT_TRUE(C.m_granted);
   EXPECT_NE(C.m_ticket.m_coordinator, Name);
 }
+
+// Load pattern: all engines are full and a stream is silent. Guards against a
+// stream that is broken off for an engine without room: the next endpoint is
+// reserved before the silent one is left, and returned if it is not used.
+TEST(Scheduler, FailoverReservesItsEndpointFirst) {
+  Fleet F(20);
+  std::vector<Caller> Running(Slots);
+  for (unsigned I = 0; I < Slots; ++I)
+    F.ask(I + 2, Running[I]);
+  const std::string Name = Running[0].m_ticket.m_coordinator;
+  ChoiceQuery Q;
+  Q.m_service = "llm";
+  Q.m_model = "m1";
+  FailoverProbe Probe(*F.node(16).m_core);
+  for (int I = 0; I < 5; ++I) {
+    EXPECT_FALSE(Probe.poll(Q, F.m_now));
+    F.advance(Milliseconds(100));
+  }
+  EXPECT_FALSE(Probe.take());
+  EXPECT_EQ(F.loadAt(Name), Slots);
+  F.finish(2, Running[0]);
+  EXPECT_FALSE(Probe.poll(Q, F.m_now)) << "the answer is on its way";
+  F.deliver();
+  EXPECT_TRUE(Probe.poll(Q, F.m_now));
+  EXPECT_EQ(F.loadAt(Name), Slots);
+  const auto Reserved = Probe.take();
+  ASSERT_TRUE(Reserved);
+  F.node(16).m_client->onEnded(Reserved->m_ticket, {});
+  F.deliver();
+  {
+    FailoverProbe Unused(*F.node(16).m_core);
+    Unused.poll(Q, F.m_now);
+    F.deliver();
+    EXPECT_TRUE(Unused.poll(Q, F.m_now));
+    EXPECT_EQ(F.loadAt(Name), Slots);
+  }
+  F.deliver();
+  EXPECT_EQ(F.loadAt(Name), Slots - 1);
+}
