libgateway: one queue of the fleet for the engines

Change: one coordinator schedules all requests for engines, a second one replaces it; plain services stay within their region. The chooser reads an index of the engines that hold the model instead of walking all endpoints.

--- a/src/libgateway/chooser.cpp
+++ b/src/libgateway/chooser.cpp
@@ -96,15 +96,21 @@
     if (static_cast<int>(O) > static_cast<int>(Out.m_obstacle))
       Out.m_obstacle = O;
   };
-  for (const auto &[Id, E] : Table.all()) {
-    if (E.m_record.m_service != Query.m_service || E.m_record.m_draining)
+  const bool NeedsModel = !Query.m_model.empty() && Target.m_engine;
+  if (NeedsModel) {
+    const auto &All = Table.holders(Query.m_service, "");
+    if (std::any_of(All.begin(), All.end(),
+                    [](const Endpoint *E) { return !E->m_record.m_draining; }))
+      RecordObstacle(ChoiceObstacle::NoModel);
+  }
+  for (const Endpoint *Holder :
+       Table.holders(Query.m_service, NeedsModel ? Query.m_model : "")) {
+    const Endpoint &E = *Holder;
+    const std::string &Id = E.m_record.m_id;
+    if (E.m_record.m_draining)
       continue;
     RecordObstacle(ChoiceObstacle::NoEndpoint);
-    if (!Query.m_model.empty() && Target.m_engine) {
-      RecordObstacle(ChoiceObstacle::NoModel);
-      const HeldModel *M = E.held(Query.m_model);
-      if (!M)
-        continue;
+    if (NeedsModel) {
       RecordObstacle(ChoiceObstacle::NoAdapter);
       if (!E.holds(Query.m_model, Query.m_adapter))
         continue;
--- a/src/libgateway/endpoints.cpp
+++ b/src/libgateway/endpoints.cpp
@@ -56,12 +56,30 @@
   m_peerLoads.erase(It);
 }
 
+const std::vector<const Endpoint *> &
+EndpointTable::holders(const std::string &Service,
+                       const std::string &Model) const {
+  static const std::vector<const Endpoint *> None;
+  if (!m_holdersValid) {
+    m_holders.clear();
+    for (const auto &[Id, E] : m_endpoints) {
+      m_holders[{E.m_record.m_service, ""}].push_back(&E);
+      for (const HeldModel &M : E.m_held)
+        m_holders[{E.m_record.m_service, M.m_name}].push_back(&E);
+    }
+    m_holdersValid = true;
+  }
+  const auto It = m_holders.find({Service, Model});
+  return It == m_holders.end() ? None : It->second;
+}
+
 Endpoint *EndpointTable::find(const std::string &Id) {
   auto It = m_endpoints.find(Id);
   return It == m_endpoints.end() ? nullptr : &It->second;
 }
 
 void EndpointTable::onRecord(const EndpointRecord &Record, TimePoint Now) {
+  m_holdersValid = false;
   Endpoint &E = m_endpoints[Record.m_id];
   const bool IsNew = E.m_record.m_id.empty() ||
                      E.m_record.m_incarnation != Record.m_incarnation ||
@@ -85,6 +103,7 @@
   auto It = m_endpoints.find(Id);
   if (It == m_endpoints.end())
     return;
+  m_holdersValid = false;
   if (!StoreWasUnavailable)
     m_endpoints.erase(It);
   else if (!It->second.m_missingSince)
@@ -111,6 +130,7 @@
     Endpoint &E = It->second;
     if (E.m_missingSince && Now - *E.m_missingSince > LapsedRecordGrace) {
       It = m_endpoints.erase(It);
+      m_holdersValid = false;
       continue;
     }
     std::vector<std::string> Expired;
@@ -152,6 +172,7 @@
       Orders < E->m_orders.value_or(0))
     return;
   E->m_held = Held;
+  m_holdersValid = false;
   E->m_orders = Orders;
   E->m_lastOrderTime = Now;
 }
@@ -177,6 +198,7 @@
       Now - E->m_lastOrderTime < MaxReportAge)
     return; // The report may lack the last order.
   E->m_held = Held;
+  m_holdersValid = false;
   E->m_orders = Orders;
 }
 
@@ -285,6 +307,9 @@
         Now + RejectionLifetime;
 }
 
-void EndpointTable::onReplaced(const std::string &Id) { m_endpoints.erase(Id); }
+void EndpointTable::onReplaced(const std::string &Id) {
+  m_endpoints.erase(Id);
+  m_holdersValid = false;
+}
 
 } // namespace primroseworks::gateway
--- a/src/libgateway/endpoints.h
+++ b/src/libgateway/endpoints.h
@@ -183,6 +183,9 @@
   /// Removes the endpoint: another one responded at its address.
   void onReplaced(const std::string &Id);
 
+  /// The endpoints of a service that hold Model; all of them if it is empty.
+  const std::vector<const Endpoint *> &holders(const std::string &Service,
+                                               const std::string &Model) const;
   Endpoint *find(const std::string &Id);
   const std::map<std::string, Endpoint> &all() const { return m_endpoints; }
   std::map<std::string, Endpoint> &all() { return m_endpoints; }
@@ -193,6 +196,11 @@
 
 private:
   std::map<std::string, Endpoint> m_endpoints; ///< By id.
+  using ServiceAndModel = std::pair<std::string, std::string>;
+  /// Index of m_endpoints, built again when m_holdersValid is false. An empty
+  /// model stands for all endpoints of the service.
+  mutable std::map<ServiceAndModel, std::vector<const Endpoint *>> m_holders;
+  mutable bool m_holdersValid = false;
   std::map<std::string, double>
       m_prefillMsPerToken; ///< By service; decaying mean.
 };
--- a/src/libgateway/exchange.cpp
+++ b/src/libgateway/exchange.cpp
@@ -80,6 +80,10 @@
   m_waitTimer.cancel();
 }
 
+void Exchange::onScheduleWaiting(ChoiceObstacle Obstacle) {
+  m_choice.m_obstacle = Obstacle;
+}
+
 void Exchange::onNoCoordinator() { m_waitTimer.cancel(); }
 
 /// Counts the request at its endpoint.
--- a/src/libgateway/exchange.h
+++ b/src/libgateway/exchange.h
@@ -75,6 +75,7 @@
                  const CoordinatorTicket &Ticket) override;
   void onScheduleRejected(ChoiceObstacle Obstacle,
                           Duration ExpectedWait) override;
+  void onScheduleWaiting(ChoiceObstacle Obstacle) override;
   void onNoCoordinator() override;
 
 private:
--- a/src/libgateway/failoverprobe.h
+++ b/src/libgateway/failoverprobe.h
@@ -37,6 +37,7 @@
   void onGranted(const Choice &Placement,
                  const CoordinatorTicket &Ticket) override;
   void onScheduleRejected(ChoiceObstacle, Duration) override { m_asked = 0; }
+  void onScheduleWaiting(ChoiceObstacle) override {}
   void onNoCoordinator() override { m_asked = 0; }
 
 private:
--- a/src/libgateway/peeraudience.cpp
+++ b/src/libgateway/peeraudience.cpp
@@ -7,6 +7,17 @@
 
 namespace primroseworks::gateway {
 
+namespace {
+
+/// Orders gateways by CPU, the largest first, and otherwise at random, but in
+/// the same way at all gateways.
+bool hasPrecedence(const Member &A, const Member &B) {
+  return std::make_tuple(-A.m_cpuShare, hash::number(A.m_name), A.m_name) <
+         std::make_tuple(-B.m_cpuShare, hash::number(B.m_name), B.m_name);
+}
+
+} // namespace
+
 PeerAudience::PeerAudience(std::string Name, std::string Domain,
                            std::map<std::string, std::string> Regions)
     : m_name(std::move(Name)), m_domain(std::move(Domain)),
@@ -24,8 +35,30 @@
       m_members.push_back(M);
   m_coordinators.clear();
   m_regionCoordinators.clear();
-  if (isLarge())
-    selectCoordinators(Members);
+  m_engineSchedulers.clear();
+  if (!isLarge())
+    return;
+  selectCoordinators(Members);
+  orderEngineSchedulers(Members);
+}
+
+void PeerAudience::orderEngineSchedulers(const std::vector<Member> &All) {
+  std::vector<Member> Order;
+  for (const Member &M : All)
+    if (isCoordinator(M.m_name))
+      Order.push_back(M);
+  std::sort(Order.begin(), Order.end(), hasPrecedence);
+  for (std::size_t I = 0; I < std::min(FleetSchedulers, Order.size()); ++I)
+    m_engineSchedulers.push_back(Order[I].m_name);
+  for (const std::string &Name : m_regionCoordinators)
+    if (std::find(m_engineSchedulers.begin(), m_engineSchedulers.end(), Name) ==
+        m_engineSchedulers.end())
+      m_engineSchedulers.push_back(Name);
+}
+
+bool PeerAudience::inRegion(const std::string &Name) const {
+  const Member *M = find(Name);
+  return M && regionOf(M->m_failureDomain) == regionOf(m_domain);
 }
 
 /// Selects the gateways with the most CPU, one per failure domain, and further
@@ -39,10 +72,7 @@
     std::size_t Available = 0;
     for (auto &[Domain, List] : Domains) {
       std::sort(List.begin(), List.end(), [](const Member *A, const Member *B) {
-        return std::make_tuple(-A->m_cpuShare, hash::number(A->m_name),
-                               A->m_name) <
-               std::make_tuple(-B->m_cpuShare, hash::number(B->m_name),
-                               B->m_name);
+        return hasPrecedence(*A, *B);
       });
       Available += List.size();
     }
@@ -59,7 +89,8 @@
   }
 }
 
-std::vector<std::string> PeerAudience::schedulers(std::uint64_t Hash) const {
+std::vector<std::string>
+PeerAudience::plainSchedulers(std::uint64_t Hash) const {
   std::vector<std::string> Out = m_regionCoordinators;
   const std::string Suffix = '/' + std::to_string(Hash);
   std::sort(Out.begin(), Out.end(),
--- a/src/libgateway/peeraudience.h
+++ b/src/libgateway/peeraudience.h
@@ -5,8 +5,13 @@
 // of one prompt's prefill, and each of them sees only a few requests per
 // second. In a small fleet every gateway sends its load changes to all others.
 // In a large one that would cost messages that grow with the square of the
-// fleet size, so a few coordinators per region schedule the requests of all
-// gateways of their region and exchange their load changes with each other.
+// fleet size, so a few coordinators schedule the requests of all gateways and
+// exchange their load changes with each other.
+//
+// Engines are scarce and shared by all models and regions, so one coordinator
+// schedules all requests for them: with several queues, the one that frees a
+// slot would take it again, and the requests of the others would starve. Plain
+// services are scheduled within each region, since their requests are short.
 #ifndef PRIMROSEWORKS_LIBGATEWAY_PEERAUDIENCE_H
 #define PRIMROSEWORKS_LIBGATEWAY_PEERAUDIENCE_H
 
@@ -33,6 +38,10 @@
 /// so that a region keeps one when it loses a VM.
 inline constexpr std::size_t MinCoordinatorsPerRegion = 2;
 
+/// Coordinators of the whole fleet that are asked before those of the region:
+/// the scheduler of the engines, and the one that replaces it.
+inline constexpr std::size_t FleetSchedulers = 2;
+
 class PeerAudience {
 public:
   /// Regions maps failure domains to regions.
@@ -49,9 +58,17 @@
     return m_coordinators.count(Name) > 0;
   }
   std::size_t coordinatorCount() const { return m_coordinators.size(); }
-  /// The coordinators of the local region, in the order in which requests with
-  /// this hash use them. All gateways of a region agree on the order.
-  std::vector<std::string> schedulers(std::uint64_t Hash) const;
+  /// The coordinators that schedule requests for engines, in the order in which
+  /// they are asked: two of the fleet, the same for all gateways, then those of
+  /// the local region.
+  const std::vector<std::string> &engineSchedulers() const {
+    return m_engineSchedulers;
+  }
+  /// The coordinators of the local region, in the order in which requests for a
+  /// plain service with this hash use them.
+  std::vector<std::string> plainSchedulers(std::uint64_t Hash) const;
+  /// Whether the gateway is in the local region; false if it is unknown.
+  bool inRegion(const std::string &Name) const;
   /// Whether this gateway uses the loads in Name's reports.
   bool isDirectPeer(const std::string &Name) const;
   /// Receivers of immediate load changes: all other gateways of a small fleet,
@@ -70,6 +87,7 @@
 private:
   std::string regionOf(const std::string &Domain) const;
   void selectCoordinators(const std::vector<Member> &All);
+  void orderEngineSchedulers(const std::vector<Member> &All);
 
   std::string m_name;
   std::string m_domain;
@@ -78,6 +96,7 @@
   std::set<std::string> m_coordinators;         ///< Empty in a small fleet.
   /// The coordinators of the local region; includes this one if it is one.
   std::vector<std::string> m_regionCoordinators;
+  std::vector<std::string> m_engineSchedulers;
 };
 
 } // namespace primroseworks::gateway
--- a/src/libgateway/peeraudience_test.cpp
+++ b/src/libgateway/peeraudience_test.cpp
@@ -1,6 +1,7 @@
 // Tests of the selection of peer report receivers.
 #include "libgateway/peeraudience.h"
 
+#include <algorithm>
 #include <gtest/gtest.h>
 #include <map>
 #include <set>
@@ -85,19 +86,35 @@
 }
 
 // Guards against gateways of one region that ask different coordinators for the
-// same model, whose requests would then not wait in one queue.
+// same service, whose requests would then not wait in one queue.
 TEST(PeerAudience, GatewaysOfARegionAgreeOnTheScheduler) {
   const PeerAudience A = audience(195, "vm-2-70", "d2");
   const PeerAudience B = audience(195, "vm-3-110", "d3");
   const PeerAudience Elsewhere = audience(195, "vm-4-140", "d4");
   std::set<std::string> First;
-  for (std::uint64_t Model = 0; Model < 50; ++Model) {
-    EXPECT_EQ(A.schedulers(Model), B.schedulers(Model));
-    EXPECT_NE(A.schedulers(Model), Elsewhere.schedulers(Model));
-    ASSERT_EQ(A.schedulers(Model).size(), 2U);
-    First.insert(A.schedulers(Model).front());
+  for (std::uint64_t Service = 0; Service < 50; ++Service) {
+    EXPECT_EQ(A.plainSchedulers(Service), B.plainSchedulers(Service));
+    EXPECT_NE(A.plainSchedulers(Service), Elsewhere.plainSchedulers(Service));
+    ASSERT_EQ(A.plainSchedulers(Service).size(), 2U);
+    First.insert(A.plainSchedulers(Service).front());
   }
-  EXPECT_EQ(First.size(), 2U) << "the models are not shared out";
+  EXPECT_EQ(First.size(), 2U) << "the services are not shared out";
+}
+
+// Guards against several queues for the same engines: the one that frees a slot
+// takes it again, and the requests in the others starve. Guards also against a
+// region without a scheduler when it is cut off from the others.
+TEST(PeerAudience, AllGatewaysAgreeOnTheSchedulerOfTheEngines) {
+  const PeerAudience A = audience(195, "vm-2-70", "d2");
+  const PeerAudience B = audience(195, "vm-4-140", "d4");
+  for (std::size_t I = 0; I < FleetSchedulers; ++I)
+    EXPECT_EQ(A.engineSchedulers().at(I), B.engineSchedulers().at(I));
+  for (const PeerAudience *P : {&A, &B})
+    for (const std::string &Name : P->plainSchedulers(1)) {
+      const std::vector<std::string> &List = P->engineSchedulers();
+      EXPECT_EQ(std::count(List.begin(), List.end(), Name), 1) << Name;
+      EXPECT_TRUE(P->inRegion(Name));
+    }
 }
 
 // Guards against the work of a coordinator on the smallest VMs.
@@ -116,7 +133,7 @@
     Members.push_back(
         {"vm-" + std::to_string(I), "10.0.0.1", I < 10 ? "d0" : "d1", 0.25});
   A.setMembers(Members);
-  EXPECT_EQ(A.schedulers(1).size(), MinCoordinatorsPerRegion);
+  EXPECT_EQ(A.plainSchedulers(1).size(), MinCoordinatorsPerRegion);
   EXPECT_EQ(A.coordinatorCount(), 2 * MinCoordinatorsPerRegion);
 }
 
--- a/src/libgateway/scheduler_test.cpp
+++ b/src/libgateway/scheduler_test.cpp
@@ -96,6 +96,7 @@
   void onScheduleRejected(ChoiceObstacle, Duration) override {
     m_rejected = true;
   }
+  void onScheduleWaiting(ChoiceObstacle) override {}
   void onNoCoordinator() override { m_alone = true; }
   bool m_granted = false;
   bool m_rejected = false;
--- a/src/libgateway/schedulerclient.cpp
+++ b/src/libgateway/schedulerclient.cpp
@@ -24,20 +24,35 @@
 std::string SchedulerClient::nextCoordinator(const PendingRequest &P,
                                              TimePoint Now) const {
   const ChoiceQuery &Q = P.m_message.m_query;
-  for (std::string &Name :
-       m_audience.schedulers(hash::number(Q.m_service + '/' + Q.m_model))) {
+  const std::vector<std::string> Candidates =
+      Q.m_model.empty() ? m_audience.plainSchedulers(hash::number(Q.m_service))
+                        : m_audience.engineSchedulers();
+  for (const std::string &Name : Candidates) {
     const auto Silent = m_silentUntil.find(Name);
     const bool IsSilent = Silent != m_silentUntil.end() && Silent->second > Now;
-    if (!IsSilent && !P.m_asked.count(Name))
-      return std::move(Name);
+    if (!IsSilent && !P.m_asked.count(Name) && Name != m_self.m_name)
+      return Name;
   }
   return {};
 }
 
+Duration SchedulerClient::replyTimeout(const std::string &Coordinator) const {
+  return m_audience.inRegion(Coordinator) ? ScheduleReplyTimeout
+                                          : RemoteScheduleReplyTimeout;
+}
+
+/// Whether this VM schedules such requests itself.
+bool SchedulerClient::isOwnScheduler(const ChoiceQuery &Query) const {
+  return m_audience.isCoordinator() &&
+         (Query.m_model.empty() ||
+          m_audience.engineSchedulers().front() == m_self.m_name);
+}
+
 TicketId SchedulerClient::request(const ChoiceQuery &Query,
                                   const WaitLimits &Limits, ScheduleWaiter &W,
                                   TimePoint Now) {
-  if (m_audience.isCoordinator() || m_core.m_rejectingWaiting)
+  if (!m_audience.isLarge() || isOwnScheduler(Query) ||
+      m_core.m_rejectingWaiting)
     return 0;
   PendingRequest P;
   P.m_message.m_sender = m_self;
@@ -129,6 +144,7 @@
       "schedule_" + std::string(nameOf(ScheduleStatusNames, Reply.m_status)));
   if (Reply.m_status == ScheduleStatus::Waiting) {
     P.m_waiting = true;
+    P.m_waiter->onScheduleWaiting(Reply.m_choice.m_obstacle);
     return;
   }
   if (Reply.m_status == ScheduleStatus::Unavailable &&
@@ -177,7 +193,7 @@
     PendingRequest &P = It->second;
     const Duration Interval = P.m_waiting && P.m_sends == 0
                                   ? WaitingRefreshInterval
-                                  : ScheduleReplyTimeout;
+                                  : replyTimeout(P.m_coordinator);
     if (Now - P.m_sentAt < Interval) {
       ++It;
       continue;
--- a/src/libgateway/schedulerclient.h
+++ b/src/libgateway/schedulerclient.h
@@ -1,4 +1,4 @@
-// Asks the coordinators of the local region for endpoints.
+// Asks the coordinators for endpoints.
 //
 // Load pattern: hundreds of gateways with a few requests per second each, whose
 // own view of the endpoints' load is about a second old. A coordinator that
@@ -20,8 +20,10 @@
 
 namespace primroseworks::gateway {
 
-/// Time for a coordinator of the same region to answer, several round trips.
+/// Time for a coordinator to answer, several round trips: in the same region
+/// and in another one.
 inline constexpr Milliseconds ScheduleReplyTimeout{40};
+inline constexpr Milliseconds RemoteScheduleReplyTimeout{80};
 /// Requests to one coordinator before it counts as silent.
 inline constexpr unsigned MaxScheduleSends = 2;
 /// Time for which a silent coordinator is not asked.
@@ -47,6 +49,9 @@
   /// The coordinator expects no endpoint in time.
   virtual void onScheduleRejected(ChoiceObstacle Obstacle,
                                   Duration ExpectedWait) = 0;
+  /// The coordinator has queued the request because of Obstacle; another
+  /// function is called later.
+  virtual void onScheduleWaiting(ChoiceObstacle Obstacle) = 0;
   /// No coordinator answers: the gateway must choose itself.
   virtual void onNoCoordinator() = 0;
 };
@@ -94,6 +99,8 @@
     TimePoint m_waitSince{};
   };
   std::string nextCoordinator(const PendingRequest &P, TimePoint Now) const;
+  bool isOwnScheduler(const ChoiceQuery &Query) const;
+  Duration replyTimeout(const std::string &Coordinator) const;
   bool askNext(TicketId Ticket, PendingRequest &P, TimePoint Now);
   void send(PendingRequest &P, TimePoint Now);
   void sendUpdate(const CoordinatorTicket &Ticket, AttemptStage Stage,
