--- a/src/libgateway/core.cpp
+++ b/src/libgateway/core.cpp
@@ -38,7 +38,8 @@
       return Out;
     Query.m_excluded.clear();
   }
-  Out.m_expectedWait = expectedWait(Query, Out.m_obstacle, Now);
+  Out.m_expectedWait =
+      expectedWait(Query, Out.m_obstacle, Limits.m_onTimeUntil, Now);
   if (Out.m_expectedWait > Limits.m_maxWait ||
       Limits.m_maxWait <= Duration::zero())
     return Out;
@@ -71,7 +72,7 @@
 }
 
 Duration Core::expectedWait(const ChoiceQuery &Query, ChoiceObstacle Obstacle,
-                            TimePoint Now) const {
+                            TimePoint OnTimeUntil, TimePoint Now) const {
   if (Obstacle == ChoiceObstacle::NoModel && m_configuration) {
     const auto Target = m_configuration->m_services.find(Query.m_service);
     if (Target != m_configuration->m_services.end() &&
@@ -82,7 +83,8 @@
         return Model->second.m_loadTime;
     }
   }
-  return m_queue.expectedWait(Query, Now).value_or(Duration::zero());
+  return m_queue.expectedWait(Query, OnTimeUntil, Now)
+      .value_or(Duration::zero());
 }
 
 void Core::dispatchWaiting(TimePoint Now) {
@@ -105,7 +107,9 @@
                    PlacedBy By, bool PrefillDone, TimePoint Now) {
   m_endpoints.onEnded(Endpoint, Query.m_size, PrefillDone, By);
   m_demand.onEnded(Query.m_model, Query.m_adapter);
-  if (By == PlacedBy::Local)
+  // After the first event, the next regular report is early enough; peers that
+  // all hear of a free slot at once would all take it.
+  if (By == PlacedBy::Local && !PrefillDone)
     notifyLoadChanged(Endpoint);
   dispatchWaiting(Now);
 }
--- a/src/libgateway/core.h
+++ b/src/libgateway/core.h
@@ -65,7 +65,7 @@
   /// Estimated time until an endpoint is available for a request that this
   /// obstacle stopped; zero if there is no estimate.
   Duration expectedWait(const ChoiceQuery &Query, ChoiceObstacle Obstacle,
-                        TimePoint Now) const;
+                        TimePoint OnTimeUntil, TimePoint Now) const;
   /// Dispatches waiting requests to endpoints with free capacity.
   void dispatchWaiting(TimePoint Now);
   /// Ends a request's use of Endpoint and dispatches waiting requests.
--- a/src/libgateway/exchange.cpp
+++ b/src/libgateway/exchange.cpp
@@ -354,8 +354,8 @@
   if (m_placed)
     co_return true;
   m_choice.m_obstacle = m_core.cancel(A.m_ticket);
-  m_expectedWait =
-      m_core.expectedWait(m_query, m_choice.m_obstacle, clockNow());
+  m_expectedWait = m_core.expectedWait(m_query, m_choice.m_obstacle,
+                                       Limits.m_onTimeUntil, clockNow());
   m_ticket = 0;
   co_return false;
 }
--- a/src/libgateway/scheduler.cpp
+++ b/src/libgateway/scheduler.cpp
@@ -77,7 +77,8 @@
     } else if (granted()) {
       C.m_endpoints.onEnded(m_choice.m_endpoint, m_message.m_query.m_size,
                             m_prefillDone);
-      C.notifyLoadChanged(m_choice.m_endpoint);
+      if (!m_prefillDone)
+        C.notifyLoadChanged(m_choice.m_endpoint);
       m_choice.m_endpoint.clear();
       C.dispatchWaiting(Now);
     }
--- a/src/libgateway/waitqueue.h
+++ b/src/libgateway/waitqueue.h
@@ -14,6 +14,7 @@
 #include <cstdint>
 #include <functional>
 #include <map>
+#include <set>
 #include <string>
 #include <tuple>
 #include <utility>
@@ -58,8 +59,10 @@
   dispatch(const std::function<Choice(const ChoiceQuery &)> &Choose,
            const std::function<void(const Grant &)> &OnGrant, TimePoint Now);
   /// Expected wait of a new request with this query; nothing if no request for
-  /// its model was dispatched recently.
+  /// its model is ahead of it or was dispatched so far. OnTimeUntil is as in
+  /// Ticket.
   std::optional<Duration> expectedWait(const ChoiceQuery &Query,
+                                       TimePoint OnTimeUntil,
                                        TimePoint Now) const;
   bool empty() const { return m_waiting.empty(); }
   std::size_t size() const { return m_waiting.size(); }
@@ -83,18 +86,30 @@
   };
   /// Moves tickets that have become late behind those that can be on time.
   void demoteLate(TimePoint Now);
-  /// Rate of dispatches.
+  /// Rate of dispatches while requests wait.
   struct DispatchRate {
     double m_intervalMs = 0; ///< Decaying mean between dispatches.
-    TimePoint m_last{};
+    TimePoint m_last{};      ///< Last dispatch.
+    void onDispatch(TimePoint WaitingSince, TimePoint Now);
+    /// Interval to expect now; 0 if it is unknown. The time since the last
+    /// dispatch counts while requests wait.
+    double intervalMs(TimePoint WaitingSince, TimePoint Now) const;
   };
+  /// The waiting requests for one model.
+  struct ModelQueue {
+    std::set<Position> m_positions;
+    TimePoint m_waitingSince{}; ///< Since when there has been one.
+    DispatchRate m_all;
+    DispatchRate m_late; ///< Of requests that could no longer be on time.
+  };
+  void insert(ModelQueue &Queue, const Position &Key, TimePoint Now);
   static std::string rateKey(const ChoiceQuery &Query) {
     return Query.m_service + '/' + Query.m_model;
   }
 
   std::map<Position, Ticket> m_waiting;
-  std::map<TicketId, Position> m_positions;    ///< Of each waiting ticket.
-  std::map<std::string, DispatchRate> m_rates; ///< By service and model.
+  std::map<TicketId, Position> m_positions;   ///< Of each waiting ticket.
+  std::map<std::string, ModelQueue> m_models; ///< By service and model.
   TicketId m_nextId = 1;
 };
 
--- a/src/libgateway/waitqueue_test.cpp
+++ b/src/libgateway/waitqueue_test.cpp
@@ -95,7 +95,7 @@
 // can be estimated from the preceding dispatches.
 TEST(WaitQueue, ExpectsTheWaitOfThoseAhead) {
   WaitQueue Queue;
-  EXPECT_FALSE(Queue.expectedWait(query(0), Start));
+  EXPECT_FALSE(Queue.expectedWait(query(0), Start + Seconds(9), Start));
   TimePoint Now = Start;
   for (int I = 0; I < 60; ++I)
     Queue.add(query(0), ChoiceObstacle::Full, Now + Seconds(9), Now);
@@ -103,12 +103,51 @@
     Now += Milliseconds(100);
     ASSERT_EQ(dispatch(Queue, 1, Now).size(), 1U);
   }
-  const std::optional<Duration> Wait = Queue.expectedWait(query(0), Now);
+  const std::optional<Duration> Wait =
+      Queue.expectedWait(query(0), Now + Seconds(9), Now);
   ASSERT_TRUE(Wait);
   // 20 requests are ahead, and one is dispatched every 100 ms.
   EXPECT_GT(*Wait, Milliseconds(1500));
   EXPECT_LT(*Wait, Milliseconds(2500));
-  EXPECT_FALSE(Queue.expectedWait(query(0, "m2"), Now));
+  EXPECT_FALSE(Queue.expectedWait(query(0, "m2"), Now + Seconds(9), Now));
+}
+
+// Load pattern: urgent requests arrive one by one and are dispatched at once,
+// since they go first, while less urgent ones have waited for long. Guards
+// against taking the short waits of the former for the pace of the queue.
+TEST(WaitQueue, ShortWaitsOfUrgentRequestsDoNotHideTheBacklog) {
+  WaitQueue Queue;
+  TimePoint Now = Start;
+  for (int I = 0; I < 10; ++I)
+    Queue.add(query(1), ChoiceObstacle::Full, Now + Seconds(20), Now);
+  for (int I = 0; I < 40; ++I) {
+    Now += Milliseconds(200);
+    Queue.add(query(0), ChoiceObstacle::Full, Now + Seconds(20),
+              Now - Milliseconds(1));
+    ASSERT_EQ(dispatch(Queue, 1, Now).size(), 1U);
+  }
+  const std::optional<Duration> Wait =
+      Queue.expectedWait(query(1), Now + Seconds(20), Now);
+  ASSERT_TRUE(Wait);
+  EXPECT_GT(*Wait, Milliseconds(1500)) << "10 are ahead, one each 200 ms";
+}
+
+// Load pattern: twice as many requests as slots, for five seconds, so that late
+// ones get hardly any turn. Guards against callers that are kept until they
+// give up: a request that will be late must be rejected on arrival.
+TEST(WaitQueue, ExpectsNoTurnForLateRequestsInAFlood) {
+  WaitQueue Queue;
+  TimePoint Now = Start;
+  for (int Ms = 0; Ms < 5000; Ms += 10) {
+    Now = Start + Milliseconds(Ms);
+    Queue.add(query(0), ChoiceObstacle::Full, Now + Milliseconds(300), Now);
+    if (Ms % 20 == 0)
+      dispatch(Queue, 1, Now);
+  }
+  const std::optional<Duration> Wait =
+      Queue.expectedWait(query(1), Now + Milliseconds(300), Now);
+  ASSERT_TRUE(Wait);
+  EXPECT_GT(*Wait, Seconds(5));
 }
 
 TEST(WaitQueue, HasALimitedSize) {
