--- a/src/libgateway/placement.cpp
+++ b/src/libgateway/placement.cpp
@@ -40,9 +40,6 @@
   return static_cast<unsigned>(Count);
 }
 
-/// Requests per copy of a model that any other model must make room for.
-constexpr double UnlimitedShare = 1e9;
-
 /// Builds the list of moves for one planning step.
 class Plan {
 public:
@@ -85,23 +82,12 @@
            m_spec.m_memoryMb;
   }
   const HeldModel *evictableModel(const PlacementEngine &E,
-                                  double NewShare) const;
-  double requests(const std::string &Model) const {
-    const ModelDemand D = demand(Model);
-    return D.m_running + D.m_waiting;
-  }
-  /// Requests per copy of the model once it has another copy.
-  double shareAfterLoad(const std::string &Model) const {
-    return copies(Model) == 0 ? UnlimitedShare
-                              : requests(Model) / (copies(Model) + 1);
-  }
+                                  double NewDemand) const;
   const ArtifactName *evictableAdapter(const PlacementEngine &E,
                                        ArtifactName &Out) const;
-  bool planLoad(const std::string &Model, double BelowLoad,
-                bool EvictionAllowed, const char *Reason);
+  bool planLoad(const std::string &Model, double BelowLoad, const char *Reason);
   double targetRequestsPerCopy() const;
-  double priority(const std::string &Model, double Target) const;
-  void placeModels(double Target, bool EvictionAllowed);
+  double priority(const std::string &Model) const;
 
   const EngineSpec &m_spec;
   const PlacementInput &m_input;
@@ -113,21 +99,23 @@
 };
 
 /// Returns the model with the least demand per copy that the engine can give
-/// up, or null. Another copy must remain, and the remaining copies must have
-/// far fewer requests than NewShare, those per copy of the model to be loaded.
+/// up, or null. Another copy must remain, and the remaining copies must be able
+/// to serve the model's demand.
 const HeldModel *Plan::evictableModel(const PlacementEngine &E,
-                                      double NewShare) const {
+                                      double NewDemand) const {
   const HeldModel *Best = nullptr;
   double BestDemand = 0;
   for (const HeldModel &M : E.m_held) {
     const unsigned Copies = copies(M.m_name);
     if (Copies < 2 && usable(E))
       continue;
-    const double PerCopyLeft = requests(M.m_name) / std::max(1U, Copies - 1);
-    if (PerCopyLeft > MaxEvictionRatio * NewShare)
+    const ModelDemand D = demand(M.m_name);
+    const double PerCopyLeft =
+        (D.m_running + D.m_waiting) / std::max(1U, Copies - 1);
+    if (PerCopyLeft > targetRequestsPerCopy() ||
+        D.m_running + D.m_waiting > 0.7 * NewDemand)
       continue;
-    const double PerCopy =
-        (requests(M.m_name) + demand(M.m_name).m_arrivals) / Copies;
+    const double PerCopy = (D.m_running + D.m_waiting + D.m_arrivals) / Copies;
     if (!Best || PerCopy < BestDemand) {
       Best = &M;
       BestDemand = PerCopy;
@@ -209,8 +197,8 @@
 /// or the unload that makes room for it. Returns false if no engine is
 /// suitable.
 bool Plan::planLoad(const std::string &Model, double BelowLoad,
-                    bool EvictionAllowed, const char *Reason) {
-  const double NewShare = shareAfterLoad(Model);
+                    const char *Reason) {
+  const ModelDemand D = demand(Model);
   const PlacementEngine *Best = nullptr;
   double BestScore = 0;
   for (const PlacementEngine &E : m_input.m_engines) {
@@ -220,13 +208,14 @@
     const bool Fits = fits(E, Model);
     // An unload waits for the model's running requests, which are slow on a
     // full engine.
-    if (!Fits && (!EvictionAllowed ||
-                  E.m_load > MaxBatchShareForUnload * m_spec.m_slots))
+    if (!Fits && E.m_load > MaxBatchShareForUnload * m_spec.m_slots)
       continue;
     const bool Cached = contains(E.m_cachedModels, Model);
     if (!Cached && m_loadsLeft == 0)
       continue; // Only cached weights load without the weight store.
-    if (!Fits && !evictableModel(E, NewShare))
+    const double NewDemand =
+        copies(Model) == 0 ? 1e9 : D.m_running + D.m_waiting;
+    if (!Fits && !evictableModel(E, NewDemand))
       continue;
     const double Score = E.m_load + (Fits ? 0 : UnloadPenalty) -
                          (Cached ? CachedWeightsBonus : 0);
@@ -244,7 +233,8 @@
     ++m_copies[Model];
     return true;
   }
-  const HeldModel *Evicted = evictableModel(*Best, NewShare);
+  const double NewDemand = copies(Model) == 0 ? 1e9 : D.m_running + D.m_waiting;
+  const HeldModel *Evicted = evictableModel(*Best, NewDemand);
   move(*Best, OrderKind::Unload, Evicted->m_name, "",
        std::string("room_for_") + Reason);
   m_moves.back().m_replacementModel = Model;
@@ -259,9 +249,9 @@
   return CopyTargetShare * m_spec.m_slots;
 }
 
-/// Requests per copy above Target, which decide which model gets a copy first;
-/// 0 if the model needs none.
-double Plan::priority(const std::string &Model, double Target) const {
+/// Requests per copy above the target, which decide which model gets a copy
+/// first; 0 if the model needs none.
+double Plan::priority(const std::string &Model) const {
   const ModelDemand D = demand(Model);
   const unsigned Copies = copies(Model);
   if (Copies == 0) {
@@ -269,37 +259,33 @@
     return Wanting > 0 ? WantedMissingModelPriority + Wanting
                        : MissingModelPriority;
   }
-  const double PerCopy = requests(Model) / Copies;
-  if (D.m_arrivals < MinArrivalsForCopy || PerCopy <= Target)
+  const double PerCopy = (D.m_running + D.m_waiting) / Copies;
+  if (D.m_arrivals < MinArrivalsForCopy || PerCopy <= targetRequestsPerCopy())
     return 0;
   for (const PlacementEngine &E : m_input.m_engines)
-    if (usable(E) && heldModel(E, Model) && E.m_load < Target)
+    if (usable(E) && heldModel(E, Model) && E.m_load < targetRequestsPerCopy())
       return 0; // An existing copy still has capacity.
-  return PerCopy - Target;
+  return PerCopy - targetRequestsPerCopy();
 }
 
 void Plan::placeModels() {
-  placeModels(targetRequestsPerCopy(), true);
-  placeModels(FreeMemoryTargetPart * targetRequestsPerCopy(), false);
-}
-
-/// Plans a copy for each model with more requests per copy than Target.
-void Plan::placeModels(double Target, bool EvictionAllowed) {
   std::vector<std::pair<double, std::string>> Wanted;
   for (const auto &[Name, Model] : m_spec.m_models) {
-    const double Priority = priority(Name, Target);
+    const double Priority = priority(Name);
     if (Priority > 0)
       Wanted.emplace_back(Priority, Name);
   }
   std::sort(Wanted.rbegin(), Wanted.rend());
   for (const auto &[Priority, Name] : Wanted) {
+    const ModelDemand D = demand(Name);
     const unsigned Copies = copies(Name);
     if (Copies == 0)
-      planLoad(Name, UnlimitedShare, EvictionAllowed, "missing_model");
+      planLoad(Name, 1e9, "missing_model");
     else
       planLoad(Name,
-               std::max(1.0, MaxLoadShareForCopy * requests(Name) / Copies),
-               EvictionAllowed, "hot_model");
+               std::max(1.0, MaxLoadShareForCopy * (D.m_running + D.m_waiting) /
+                                 Copies),
+               "hot_model");
   }
 }
 
--- a/src/libgateway/placement.h
+++ b/src/libgateway/placement.h
@@ -74,16 +74,10 @@
 /// Share of an engine's batch that each copy of a model should serve before the
 /// model gets another copy.
 inline constexpr double CopyTargetShare = 0.25;
-/// An engine with free memory gets another copy of a model already above this
-/// part of the target: nothing has to be unloaded for it.
-inline constexpr double FreeMemoryTargetPart = 0.5;
 /// Priority of loading a model that has no copy, in requests per copy: for
 /// future requests alone, and while requests wait or arrive.
 inline constexpr double MissingModelPriority = 0.5;
 inline constexpr double WantedMissingModelPriority = 1e6;
-/// A copy is evicted for another model if the requests per copy that its model
-/// is left with are below this part of those that the other one gets.
-inline constexpr double MaxEvictionRatio = 0.5;
 /// Score penalty for an engine that must unload a model first, and bonus for
 /// one that has the weights cached; both in requests at the engine.
 inline constexpr double UnloadPenalty = 6;
