libgateway: bytes without end are cut off

Cause: an endpoint in trouble may send bytes that are no answer without end. A response to another request, an event without a line end and a call to the store or an engine had no bound on their bytes, only on their time; interim responses (1xx) were taken for the response. Change: one bound for bodies (8 MiB), one for an event (1 MiB), at most 8 interim responses; then the connection is closed and the endpoint counts as failing. Exchange::readHead is split from attempt().

--- a/src/libgateway/connections.cpp
+++ b/src/libgateway/connections.cpp
@@ -265,11 +265,17 @@
   Watchdog Guard(Io);
   Guard.arm(C, End);
   Result<void> Step = co_await C->send(std::move(Request));
-  while (Step && !C->m_reader.complete())
+  while (Step && !C->m_reader.complete() &&
+         C->m_reader.bodySize() <= MaxResponseBodyBytes)
     Step = co_await C->readSome();
   Guard.disarm();
   if (!Step || !C->m_reader.complete()) {
     C->close();
+    if (Step && !Guard.fired())
+      co_return makeError(ErrorKind::Protocol,
+                          "the response from " + Address + " exceeds " +
+                              std::to_string(MaxResponseBodyBytes) +
+                              " bytes; check what listens at this address");
     co_return makeError(
         ErrorKind::Timeout,
         "no complete response from " + Address + ": " +
--- a/src/libgateway/connections.h
+++ b/src/libgateway/connections.h
@@ -20,6 +20,10 @@
 
 namespace primroseworks::gateway {
 
+/// Largest body that is read into memory: of a response that is not a stream,
+/// of a call to the store or to an engine's control interface.
+inline constexpr std::size_t MaxResponseBodyBytes = 8'388'608;
+
 /// Parses "IP:PORT"; fails with InvalidArgument.
 Result<asio::ip::tcp::endpoint> parseAddress(const std::string &Text);
 /// Sets the socket options of a connection: no Nagle delay, and an end to the
--- a/src/libgateway/exchange.cpp
+++ b/src/libgateway/exchange.cpp
@@ -402,6 +402,38 @@
                              Now + std::max<Duration>(MinAttemptTimeout, Half));
 }
 
+/// Reads the head of the response to this request. Skips interim responses and
+/// late responses to earlier requests on the connection.
+asio::awaitable<Result<void>> Exchange::readHead(ConnectionPtr C) {
+  unsigned Interim = 0;
+  for (;;) {
+    while (!C->m_reader.headComplete()) {
+      BOOST_OUTCOME_CO_TRYV(co_await C->readSome());
+    }
+    const HttpHead &Head = C->m_reader.head();
+    const bool IsInterim = Head.m_status >= 100 && Head.m_status < 200;
+    const ResponseMetadata Metadata = m_core.m_dialect.responseMetadata(Head);
+    if (!IsInterim && (Metadata.m_requestId.empty() ||
+                       Metadata.m_requestId == m_requestMetadata.m_id))
+      co_return boost::outcome_v2::success();
+    if (IsInterim && ++Interim > MaxInterimResponses)
+      co_return makeError(ErrorKind::Protocol,
+                          "too many interim responses; use another endpoint");
+    if (!IsInterim)
+      m_core.m_metrics->count("foreign_answer");
+    std::size_t Skipped = 0;
+    while (!C->m_reader.complete()) {
+      BOOST_OUTCOME_CO_TRYV(co_await C->readSome());
+      Skipped += C->m_reader.takeBody().size();
+      if (Skipped > MaxResponseBodyBytes)
+        co_return makeError(
+            ErrorKind::Protocol,
+            "a response to another request has no end; use another endpoint");
+    }
+    C->m_reader.reset();
+  }
+}
+
 asio::awaitable<AttemptOutcome> Exchange::attempt() {
   m_closedByPeer = false;
   m_endpointReplaced = false;
@@ -451,24 +483,7 @@
   // An endpoint may respond and close the connection before it has read a long
   // body, so a failed send does not mean that there is no response.
   if (Sent || !m_callerGone) {
-    Result<void> HeadRead = boost::outcome_v2::success();
-    for (;;) {
-      while (HeadRead && !C->m_reader.headComplete())
-        HeadRead = co_await C->readSome();
-      if (!HeadRead)
-        break;
-      const ResponseMetadata Metadata =
-          m_core.m_dialect.responseMetadata(C->m_reader.head());
-      if (Metadata.m_requestId.empty() ||
-          Metadata.m_requestId == m_requestMetadata.m_id)
-        break;
-      // A late second response to an earlier request on this connection.
-      m_core.m_metrics->count("foreign_answer");
-      while (HeadRead && !C->m_reader.complete())
-        HeadRead = co_await C->readSome();
-      if (HeadRead)
-        C->m_reader.reset();
-    }
+    const Result<void> HeadRead = co_await readHead(C);
     if (HeadRead) {
       m_core.m_endpoints.onFirstByte(m_choice.m_endpoint, clockNow() - Now);
       m_observation.m_firstByteMs = toMillis(clockNow() - Now);
@@ -604,8 +619,8 @@
     }
     // Complete events are forwarded even if the stream is truncated after them:
     // they count as sent, and another endpoint continues after the last one.
-    const bool Truncated =
-        EventMissing || (C->m_reader.complete() && Splitter.pending() > 0);
+    const bool Truncated = EventMissing || Splitter.pending() > MaxEventBytes ||
+                           (C->m_reader.complete() && Splitter.pending() > 0);
     const bool Complete = C->m_reader.complete() && !Truncated;
     std::string Out;
     if ((!NewEvents.empty() || Complete) && !m_committed) {
--- a/src/libgateway/exchange.h
+++ b/src/libgateway/exchange.h
@@ -54,8 +54,11 @@
 /// Shortest timeout of an attempt of a repeatable request before the request is
 /// sent to another endpoint.
 inline constexpr Milliseconds MinAttemptTimeout{250};
-/// Largest body of a response that is not a stream.
-inline constexpr std::size_t MaxResponseBodyBytes = 8'388'608;
+/// Largest event of a stream. An endpoint in trouble may send bytes without
+/// end.
+inline constexpr std::size_t MaxEventBytes = 1'048'576;
+/// Interim responses (1xx) that are skipped before a response.
+inline constexpr unsigned MaxInterimResponses = 8;
 /// The first configuration usually arrives within this time after the start.
 inline constexpr Milliseconds TypicalConfigurationDelay{1000};
 
@@ -92,6 +95,7 @@
     return m_sentAttempts - m_refusedAttempts;
   }
   asio::awaitable<AttemptOutcome> attempt();
+  asio::awaitable<Result<void>> readHead(ConnectionPtr C);
   asio::awaitable<AttemptOutcome> readResponse(ConnectionPtr C);
   asio::awaitable<AttemptOutcome> relayEvents(ConnectionPtr C,
                                               Watchdog &AttemptTimer);
--- a/src/libgateway/gateway.cpp
+++ b/src/libgateway/gateway.cpp
@@ -430,7 +430,7 @@
         .text("before", m_leaderName)
         .number("revision", static_cast<std::int64_t>(Revision));
   m_leaderName = Leader;
-  m_peers.setMembers(std::move(Members));
+  m_peers.setMembers(Members);
   m_peers.setLeader(Leader, HasLeader ? Key->second.m_revision : Revision);
   if (Leader != m_core.m_settings.m_vm && m_leaderClaim.onForeignKey(Revision))
     m_placementLeader.onClaimLost();
--- a/src/libgateway/peeraudience.cpp
+++ b/src/libgateway/peeraudience.cpp
@@ -28,7 +28,7 @@
   return It == m_regions.end() ? Domain : It->second;
 }
 
-void PeerAudience::setMembers(std::vector<Member> Members) {
+void PeerAudience::setMembers(const std::vector<Member> &Members) {
   m_members.clear();
   for (const Member &M : Members)
     if (M.m_name != m_name)
--- a/src/libgateway/peeraudience.h
+++ b/src/libgateway/peeraudience.h
@@ -48,7 +48,7 @@
   PeerAudience(std::string Name, std::string Domain,
                std::map<std::string, std::string> Regions);
   /// Sets the gateways of the fleet; the list may include this one.
-  void setMembers(std::vector<Member> Members);
+  void setMembers(const std::vector<Member> &Members);
   /// All gateways except this one.
   const std::vector<Member> &members() const { return m_members; }
   bool isLarge() const { return m_members.size() > MaxSmallFleetPeers; }
--- a/src/libgateway/peers.cpp
+++ b/src/libgateway/peers.cpp
@@ -50,10 +50,10 @@
   return boost::outcome_v2::success();
 }
 
-void Peers::setMembers(std::vector<Member> Members) {
+void Peers::setMembers(const std::vector<Member> &Members) {
   const bool WasCoordinator = m_audience.isCoordinator();
   const bool WasLarge = m_audience.isLarge();
-  m_audience.setMembers(std::move(Members));
+  m_audience.setMembers(Members);
   m_core.m_gatewayCount =
       static_cast<unsigned>(m_audience.members().size() + 1);
   m_core.m_chooserCount =
--- a/src/libgateway/peers.h
+++ b/src/libgateway/peers.h
@@ -40,7 +40,7 @@
   Result<void> open();
   /// Receives reports until the socket is closed.
   asio::awaitable<void> receive();
-  void setMembers(std::vector<Member> Members);
+  void setMembers(const std::vector<Member> &Members);
   /// Name has held the leader's key since store revision Token; an empty Name
   /// means that there was no leader at that revision.
   void setLeader(const std::string &Name, std::uint64_t Token);
--- a/src/libgateway/storerelay.cpp
+++ b/src/libgateway/storerelay.cpp
@@ -20,18 +20,17 @@
   std::vector<StoreRelay> Out;
   StoreRelay Next{Sender, From, From, RecentlyUnavailable, {}};
   std::size_t Bytes = 0;
-  const std::vector<StoreChange> &All = Changes.m_changes;
-  for (std::size_t I = 0; I < All.size();) {
+  const auto End = Changes.m_changes.end();
+  for (auto First = Changes.m_changes.begin(); First != End;) {
     // Changes of one revision stay together.
-    std::size_t End = I;
+    const std::uint64_t Revision = First->m_revision;
     std::size_t Size = 0;
     bool TooLarge = false;
-    for (; End < All.size() && All[End].m_revision == All[I].m_revision;
-         ++End) {
-      Size += sizeOf(All[End]);
-      TooLarge = TooLarge || sizeOf(All[End]) > MaxRelayedValueBytes;
+    auto Last = First;
+    for (; Last != End && Last->m_revision == Revision; ++Last) {
+      Size += sizeOf(*Last);
+      TooLarge = TooLarge || sizeOf(*Last) > MaxRelayedValueBytes;
     }
-    const std::uint64_t Revision = All[I].m_revision;
     if (TooLarge || (Bytes + Size > MaxRelayBytes && Bytes > 0)) {
       if (!Next.m_changes.empty())
         Out.push_back(Next);
@@ -41,12 +40,11 @@
       Bytes = 0;
     }
     if (!TooLarge) {
-      Next.m_changes.insert(Next.m_changes.end(), All.begin() + I,
-                            All.begin() + End);
+      Next.m_changes.insert(Next.m_changes.end(), First, Last);
       Next.m_to = Revision;
       Bytes += Size;
     }
-    I = End;
+    First = Last;
   }
   Next.m_to = std::max(Next.m_to, Changes.m_revision);
   Out.push_back(std::move(Next));
