libgateway: the age of the copy of the store is logged, and why a watch failed

Cause: no line told when a gateway's copy of the store was last confirmed, as distinct from when it last changed, nor how a watch ended. Change: lines watch_failed, store_copy_stale, store_copy_confirmed; confirmed_ms_ago in configuration and endpoint lines; metrics store_copy_age_seconds and sent_to_lapsed_endpoint. No decision changes.

--- a/src/libgateway/core.h
+++ b/src/libgateway/core.h
@@ -88,7 +88,9 @@
   ConfigurationPtr m_configuration; ///< Null until first read.
   TimePoint m_configurationAt{};    ///< When it was read.
   bool m_endpointsKnown = false;    ///< The list was read at least once.
-  TimePoint m_endpointsAt{};        ///< When it was last confirmed.
+  /// When a list, a watch or a relay last showed that the copies of the
+  /// configuration and the endpoints are complete.
+  TimePoint m_copyConfirmedAt{};
   EndpointTable m_endpoints;
   Chooser m_chooser;
   WaitQueue m_queue;
--- a/src/libgateway/exchange.cpp
+++ b/src/libgateway/exchange.cpp
@@ -472,6 +472,8 @@
     C->close();
     co_return AttemptOutcome::NotConnected;
   }
+  if (E->m_missingSince)
+    m_core.m_metrics->count("sent_to_lapsed_endpoint");
   m_connection = C;
   m_sentAt = Now;
   m_stalled = false;
@@ -822,7 +824,7 @@
       .real("score_ms", m_choice.m_scoreMs)
       .real("failures", E ? E->m_failureShare : -1)
       .number("sends", m_sentAttempts)
-      .real("list_age_ms", toMillis(Now - m_core.m_endpointsAt))
+      .real("list_age_ms", toMillis(Now - m_core.m_copyConfirmedAt))
       .text("model", m_query.m_model)
       .text("adapter", m_query.m_adapter);
   m_core.m_metrics->count("attempt_" +
--- a/src/libgateway/gateway.cpp
+++ b/src/libgateway/gateway.cpp
@@ -155,6 +155,39 @@
   m_lastStoreSuccess = Now;
 }
 
+double Gateway::confirmedMsAgo(TimePoint Now) const {
+  return m_core.m_endpointsKnown ? toMillis(Now - m_core.m_copyConfirmedAt) : 0;
+}
+
+void Gateway::onCopyConfirmed(TimePoint Now) {
+  if (m_copyStale)
+    decisionlog::line(LogClass::Lifecycle, "store_copy_confirmed")
+        .real("confirmed_ms_ago", confirmedMsAgo(Now));
+  m_copyStale = false;
+  m_core.m_copyConfirmedAt = Now;
+}
+
+/// Reports a copy of the store that is older than a change may be, although
+/// calls to the store succeed.
+void Gateway::checkCopyAge(TimePoint Now) {
+  if (!m_core.m_endpointsKnown)
+    return;
+  const Duration Age = Now - m_core.m_copyConfirmedAt;
+  m_core.m_metrics->gauge("store_copy_age_seconds", toSeconds(Age));
+  if (m_copyStale || m_storeUnavailable || Age <= changeLimit())
+    return;
+  m_copyStale = true;
+  m_core.m_metrics->count("store_copy_stale");
+  decisionlog::line(LogClass::Lifecycle, "store_copy_stale")
+      .real("confirmed_ms_ago", toMillis(Age))
+      .real("answered_ms_ago", toMillis(Now - m_lastStoreSuccess));
+}
+
+Milliseconds Gateway::changeLimit() const {
+  return std::min(m_core.m_settings.m_drainLimit,
+                  m_core.m_settings.m_configurationLimit);
+}
+
 bool Gateway::storeRecentlyUnavailable(TimePoint Now) const {
   return m_storeUnavailable || Now < m_lapsedEntriesUntil;
 }
@@ -181,7 +214,8 @@
       .number("version", static_cast<std::int64_t>(Version))
       .number("revision", static_cast<std::int64_t>(Item.m_revision))
       .number("routes", static_cast<std::int64_t>(
-                            m_core.m_configuration->m_routes.size()));
+                            m_core.m_configuration->m_routes.size()))
+      .real("confirmed_ms_ago", confirmedMsAgo(clockNow()));
   m_core.dispatchWaiting(clockNow());
 }
 
@@ -197,7 +231,8 @@
       decisionlog::line(LogClass::KnownState, "endpoint_removed")
           .text("endpoint", Id)
           .number("revision", static_cast<std::int64_t>(Change.m_revision))
-          .number("store_was_away", RecentlyUnavailable ? 1 : 0);
+          .number("store_was_away", RecentlyUnavailable ? 1 : 0)
+          .real("confirmed_ms_ago", confirmedMsAgo(Now));
     return;
   }
   Result<EndpointRecord> Record =
@@ -218,7 +253,8 @@
         .text("service", Record.value().m_service)
         .text("address", Record.value().m_address)
         .text("state", Draining ? "draining" : "ready")
-        .number("revision", static_cast<std::int64_t>(Change.m_revision));
+        .number("revision", static_cast<std::int64_t>(Change.m_revision))
+        .real("confirmed_ms_ago", confirmedMsAgo(Now));
   m_core.m_endpoints.onRecord(Record.value(), Now);
 }
 
@@ -241,7 +277,7 @@
         {m_core.m_dialect.endpointPrefix() + Id, std::nullopt, List.m_revision},
         RecentlyUnavailable);
   m_core.m_endpointsKnown = true;
-  m_core.m_endpointsAt = Now;
+  onCopyConfirmed(Now);
   m_core.dispatchWaiting(Now);
 }
 
@@ -295,7 +331,7 @@
       applyConfiguration({C.m_key, *C.m_value, C.m_revision});
     }
   }
-  m_core.m_endpointsAt = Now;
+  onCopyConfirmed(Now);
   if (GatewaysChanged)
     applyGateways(Revision);
   if (!EndpointsChanged)
@@ -323,10 +359,17 @@
 asio::awaitable<bool> Gateway::watchOnce(Duration &Backoff) {
   const std::uint64_t From = m_storeFollower.revision();
   const bool Coordinator = m_peers.audience().isCoordinator();
+  const TimePoint SentAt = clockNow();
   Result<StoreChanges> Changes = co_await m_store.watch(
       "", From, Coordinator ? CoordinatorWatchTimeout : WatchTimeout);
   onStoreResult(Changes.has_value(), "watch");
   if (!Changes) {
+    const TimePoint Now = clockNow();
+    decisionlog::line(LogClass::KnownState, "watch_failed")
+        .number("revision", static_cast<std::int64_t>(From))
+        .real("took_ms", toMillis(Now - SentAt))
+        .real("answered_ms_ago", toMillis(Now - m_lastStoreSuccess))
+        .text("error", Changes.error().m_message);
     // The next watch returns the missed changes from the store's history, or
     // reports that the history no longer has them.
     co_await sleep(Backoff);
@@ -343,10 +386,9 @@
   applyChanges(m_storeFollower.onWatched(Changes.value()),
                Changes.value().m_revision, RecentlyUnavailable);
   if (!Changes.value().m_changes.empty())
-    co_await sleep(watchPause(
-        m_core.m_gatewayCount, m_leaderClaim.claimed() || Coordinator,
-        std::min(m_core.m_settings.m_drainLimit,
-                 m_core.m_settings.m_configurationLimit)));
+    co_await sleep(watchPause(m_core.m_gatewayCount,
+                              m_leaderClaim.claimed() || Coordinator,
+                              changeLimit()));
   co_return true;
 }
 
@@ -590,6 +632,7 @@
     m_core.m_metrics->gauge("caller_connections",
                             static_cast<double>(m_callerListener.size()));
     m_core.m_metrics->gauge("leads", isLeader() ? 1 : 0);
+    checkCopyAge(Now);
     m_core.m_metrics->gauge("loop_lag_seconds", toSeconds(clockNow() - Now));
     m_core.m_metrics->gauge("log_lines_left_out",
                             static_cast<double>(decisionlog::dropped()));
--- a/src/libgateway/gateway.h
+++ b/src/libgateway/gateway.h
@@ -103,6 +103,13 @@
   Duration ownReportInterval() const;
   void onStoreResult(bool Success, const char *Operation);
   bool storeRecentlyUnavailable(TimePoint Now) const;
+  void onCopyConfirmed(TimePoint Now);
+  void checkCopyAge(TimePoint Now);
+  /// Time since the copy of the store was last confirmed; 0 before the first
+  /// time.
+  double confirmedMsAgo(TimePoint Now) const;
+  /// Time within which a change in the store must be in effect here.
+  Milliseconds changeLimit() const;
   void schedulePlacement();
   void scheduleAnnouncement();
   void validateSettings();
@@ -137,6 +144,8 @@
   bool m_memberWritten = false; ///< Written under the current lease.
   bool m_storeUnavailable = false;
   TimePoint m_lastStoreSuccess{}; ///< Last successful call.
+  /// "store_copy_stale" was logged, and no confirmation followed yet.
+  bool m_copyStale = false;
   /// Endpoint records may be missing from the store until then.
   TimePoint m_lapsedEntriesUntil{};
   std::size_t m_unusableEntries = 0;
