libgateway: a watch waits only so long that the next one brings a change in time

Callers saw: 404 and answers by an older configuration although the newer one had been acknowledged for more than 2.5 s (CONFIG). Cause: a watch whose response is lost on an open connection ended only by its own timeout of 4.9 s, whatever the limit for a change was, while renewals on other connections succeeded. Class: a subscription is given up later than what it guards may take. Change: the wait of a watch is what the limit leaves after the pause before it, the margin for the response, the backoff and the call that follows: 1.0 s instead of 4.0 s at a limit of 2.5 s. The pause is at most 0.3 of the limit instead of 0.4, so that this holds in large fleets. Why this works: pause, lost call, backoff and the next call together stay below the limit (WatchWait.OneLostResponseKeepsTheLimit).

--- a/src/libgateway/gateway.cpp
+++ b/src/libgateway/gateway.cpp
@@ -188,6 +188,12 @@
                   m_core.m_settings.m_configurationLimit);
 }
 
+Duration Gateway::pauseBetweenWatches() const {
+  const bool Frequent =
+      m_leaderClaim.claimed() || m_peers.audience().isCoordinator();
+  return watchPause(m_core.m_gatewayCount, Frequent, changeLimit());
+}
+
 bool Gateway::storeRecentlyUnavailable(TimePoint Now) const {
   return m_storeUnavailable || Now < m_lapsedEntriesUntil;
 }
@@ -358,10 +364,11 @@
 /// if the store's state must be read again.
 asio::awaitable<bool> Gateway::watchOnce(Duration &Backoff) {
   const std::uint64_t From = m_storeFollower.revision();
-  const bool Coordinator = m_peers.audience().isCoordinator();
+  Milliseconds Wait = watchWait(pauseBetweenWatches(), changeLimit());
+  if (m_peers.audience().isCoordinator())
+    Wait = std::min(Wait, CoordinatorWatchTimeout);
   const TimePoint SentAt = clockNow();
-  Result<StoreChanges> Changes = co_await m_store.watch(
-      "", From, Coordinator ? CoordinatorWatchTimeout : WatchTimeout);
+  Result<StoreChanges> Changes = co_await m_store.watch("", From, Wait);
   onStoreResult(Changes.has_value(), "watch");
   if (!Changes) {
     const TimePoint Now = clockNow();
@@ -386,9 +393,7 @@
   applyChanges(m_storeFollower.onWatched(Changes.value()),
                Changes.value().m_revision, RecentlyUnavailable);
   if (!Changes.value().m_changes.empty())
-    co_await sleep(watchPause(m_core.m_gatewayCount,
-                              m_leaderClaim.claimed() || Coordinator,
-                              changeLimit()));
+    co_await sleep(pauseBetweenWatches());
   co_return true;
 }
 
--- a/src/libgateway/gateway.h
+++ b/src/libgateway/gateway.h
@@ -25,17 +25,10 @@
 inline constexpr const char *MemberPrefix = "primrose/member/";
 inline constexpr const char *LeaderKey = "primrose/placement-leader";
 
-/// Timeout of one watch call. A connection that is no longer responsive is
-/// noticed only when this time is over.
-inline constexpr Milliseconds WatchTimeout{4000};
 /// Adapter requests that arrive within this time share one report.
 inline constexpr Milliseconds AdapterRequestBatchDelay{3};
 /// Interval between complete lists, which are read whatever the watch reported.
 inline constexpr Seconds RelistInterval{120};
-/// Delay after a failed call to the store; doubled up to the maximum with each
-/// further failure.
-inline constexpr Milliseconds MinStoreBackoff{100};
-inline constexpr Milliseconds MaxStoreBackoff{500};
 /// A gateway that just started claims leadership only after this time, when it
 /// knows the other gateways.
 inline constexpr Milliseconds StartClaimDelay{400};
@@ -110,6 +103,8 @@
   double confirmedMsAgo(TimePoint Now) const;
   /// Time within which a change in the store must be in effect here.
   Milliseconds changeLimit() const;
+  /// Pause after a watch that returned changes.
+  Duration pauseBetweenWatches() const;
   void schedulePlacement();
   void scheduleAnnouncement();
   void validateSettings();
--- a/src/libgateway/store.h
+++ b/src/libgateway/store.h
@@ -50,6 +50,9 @@
   std::uint64_t m_lease = 0; ///< 0: the key does not expire.
 };
 
+/// A watch call fails with Timeout this long after the end of its wait.
+inline constexpr Milliseconds WatchResponseMargin{900};
+
 /// Calls fail with Unavailable or RateLimited (the operation was not executed),
 /// Timeout (it may have been executed, or may still be), or Protocol.
 class MetadataStore {
--- a/src/libgateway/watchpause.h
+++ b/src/libgateway/watchpause.h
@@ -1,12 +1,17 @@
-// Pause between two watch calls to the metadata store.
+// Times of the watch calls to the metadata store: the pause between two of
+// them, and how long one of them waits for a change.
 //
 // Load pattern: each change wakes up every gateway. Without a pause the number
 // of calls grows with the number of changes times the size of the fleet, and a
 // large fleet uses up the store's rate limit while models are moved.
+//
+// Failure: the response to a watch may be lost on a connection that stays open,
+// while all other calls succeed. A watch therefore waits only so long that the
+// next one still brings a change in time.
 #ifndef PRIMROSEWORKS_LIBGATEWAY_WATCHPAUSE_H
 #define PRIMROSEWORKS_LIBGATEWAY_WATCHPAUSE_H
 
-#include "primroseworks/time.h"
+#include "libgateway/store.h"
 
 #include <algorithm>
 
@@ -20,7 +25,17 @@
 inline constexpr Milliseconds WatchPausePerMember{17};
 /// Maximum pause as a share of the time within which a change must be in
 /// effect; the rest is for the calls, including a failed one.
-inline constexpr double MaxWatchPauseShare = 0.4;
+inline constexpr double MaxWatchPauseShare = 0.3;
+/// Limits of the time for which a watch waits for a change.
+inline constexpr Milliseconds MinWatchWait{100};
+inline constexpr Milliseconds MaxWatchWait{4000};
+/// Time for the call that follows a failed one: a watch that finds a change
+/// returns at once.
+inline constexpr Milliseconds FollowingCallTime{300};
+/// Delay after a failed call to the store; doubled up to the maximum with each
+/// further failure.
+inline constexpr Milliseconds MinStoreBackoff{100};
+inline constexpr Milliseconds MaxStoreBackoff{500};
 
 /// Returns the pause after a watch call that returned changes, so that changes
 /// in quick succession share a call. ChangeLimit is the time after which a
@@ -34,6 +49,16 @@
   return std::max<Duration>(MinWatchPause, std::min(Wanted, Max));
 }
 
+/// Returns how long a watch call waits for a change. A change that occurs when
+/// the Pause before the call begins is in effect within ChangeLimit although
+/// the response is lost.
+inline Milliseconds watchWait(Duration Pause, Milliseconds ChangeLimit) {
+  const Duration Rest = ChangeLimit - Pause - WatchResponseMargin -
+                        MinStoreBackoff - FollowingCallTime;
+  return std::clamp(std::chrono::duration_cast<Milliseconds>(Rest),
+                    MinWatchWait, MaxWatchWait);
+}
+
 } // namespace primroseworks::gateway
 
 #endif
--- a/src/libgateway/watchpause_test.cpp
+++ b/src/libgateway/watchpause_test.cpp
@@ -1,4 +1,4 @@
-// Tests for the pause between watch calls to the metadata store.
+// Tests of the times of watch calls to the metadata store.
 #include "libgateway/watchpause.h"
 
 #include <gtest/gtest.h>
@@ -41,3 +41,17 @@
         << Members;
   EXPECT_EQ(watchPause(400, true, ChangeLimit), Duration(MinWatchPause));
 }
+
+// Guards against a configuration that takes effect too late because the
+// response to a watch was lost.
+TEST(WatchWait, OneLostResponseKeepsTheLimit) {
+  for (const Milliseconds Limit :
+       {Milliseconds(2000), Milliseconds(2500), ChangeLimit})
+    for (const unsigned Members : {1U, 9U, 11U, 88U, 400U})
+      for (const bool IsLeader : {false, true}) {
+        const Duration Pause = watchPause(Members, IsLeader, Limit);
+        const Duration LostCall = watchWait(Pause, Limit) + WatchResponseMargin;
+        EXPECT_LE(Pause + LostCall + MinStoreBackoff + FollowingCallTime, Limit)
+            << Members << " gateways, limit " << Limit.count();
+      }
+}
