libgateway: a missing endpoint is given up within the drain limit, not 0.2 s after it

Callers would see: a request at an endpoint that left, more than the drain limit after its removal was known here (DRAIN). Cause: the grace for lapsed records was the whole drain limit (2.5 s), the endpoint was dropped by the next expiry up to 0.2 s later, and the request still had its way to go. Change: the grace ends 0.3 s before the drain limit, at 2.2 s at the latest; chooser and the last look before a send use the exact time. Paths that send later than they choose (queue, coordinator's ticket, failover): all go through Exchange::attempt, which looks at the record again after the connect; so no further change there.

--- a/src/libgateway/chooser.cpp
+++ b/src/libgateway/chooser.cpp
@@ -99,15 +99,16 @@
   const bool NeedsModel = !Query.m_model.empty() && Target.m_engine;
   if (NeedsModel) {
     const auto &All = Table.holders(Query.m_service, "");
-    if (std::any_of(All.begin(), All.end(),
-                    [](const Endpoint *E) { return !E->m_record.m_draining; }))
+    if (std::any_of(All.begin(), All.end(), [Now](const Endpoint *E) {
+          return E->acceptsRequests(Now);
+        }))
       RecordObstacle(ChoiceObstacle::NoModel);
   }
   for (const Endpoint *Holder :
        Table.holders(Query.m_service, NeedsModel ? Query.m_model : "")) {
     const Endpoint &E = *Holder;
     const std::string &Id = E.m_record.m_id;
-    if (E.m_record.m_draining)
+    if (!E.acceptsRequests(Now))
       continue;
     RecordObstacle(ChoiceObstacle::NoEndpoint);
     if (NeedsModel) {
--- a/src/libgateway/chooser_test.cpp
+++ b/src/libgateway/chooser_test.cpp
@@ -172,6 +172,17 @@
   EXPECT_EQ(F.choose(F.query()).m_obstacle, ChoiceObstacle::NoEndpoint);
 }
 
+// Guards against requests that reach an endpoint later than a leaving one may
+// get any, because its missing record was kept until the next expiry.
+TEST(Chooser, SendsNothingOnceAMissingRecordDidNotReturn) {
+  const TimePoint Until = Start + lapsedRecordGrace(Milliseconds(2500));
+  Fleet F;
+  F.add("e1", "d1");
+  F.m_table.onRemoved("e1", Until, Start);
+  EXPECT_EQ(F.choose(F.query(), Until - Milliseconds(1)).m_endpoint, "e1");
+  EXPECT_EQ(F.choose(F.query(), Until).m_obstacle, ChoiceObstacle::NoEndpoint);
+}
+
 // Load pattern: 88 gateways with the same load reports choose at the same
 // moment, before the next report. Guards against all of them choosing the same
 // endpoint.
--- a/src/libgateway/endpoints.h
+++ b/src/libgateway/endpoints.h
@@ -5,6 +5,7 @@
 
 #include "libgateway/types.h"
 
+#include <algorithm>
 #include <map>
 #include <string>
 #include <unordered_map>
@@ -85,6 +86,10 @@
 
   const HeldModel *held(const std::string &Model) const;
   bool holds(const std::string &Model, const std::string &Adapter) const;
+  /// Whether requests may be sent to it at Now.
+  bool acceptsRequests(TimePoint Now) const {
+    return !m_record.m_draining && (!m_keptUntil || Now < *m_keptUntil);
+  }
   EndpointLoad load() const; ///< Local load plus that of the peers.
   void setPeerLoad(const std::string &Peer, EndpointLoad Load, TimePoint Until);
   void erasePeerLoad(const std::string &Peer);
@@ -115,7 +120,15 @@
 inline constexpr Milliseconds RejectionLifetime{250};
 /// Time within which records that lapsed while the store was unavailable are
 /// expected to return.
-inline constexpr Milliseconds LapsedRecordGrace{2500};
+inline constexpr Milliseconds MaxLapsedRecordGrace{2200};
+/// Time from the last look at an endpoint's record until a request reaches it.
+inline constexpr Milliseconds DispatchTime{300};
+/// Returns for how long an endpoint is kept whose record may have lapsed. If it
+/// left for good, its last request still reaches it within DrainLimit.
+inline Milliseconds lapsedRecordGrace(Milliseconds DrainLimit) {
+  return std::clamp(DrainLimit - DispatchTime, Milliseconds(0),
+                    MaxLapsedRecordGrace);
+}
 /// Time after the last order during which endpoint records do not replace the
 /// known holdings: a record does not say which orders it includes. After a
 /// change, a record is written at least once per heartbeat.
--- a/src/libgateway/endpoints_test.cpp
+++ b/src/libgateway/endpoints_test.cpp
@@ -58,6 +58,19 @@
   EXPECT_EQ(Table.find("e2"), nullptr);
 }
 
+// Guards against requests that reach an endpoint later than a leaving one may
+// get any, because its record counts as lapsed.
+TEST(LapsedRecordGrace, EndsInTimeForTheLastRequest) {
+  for (const int LimitMs : {0, 200, 1000, 2500, 4000, 60000}) {
+    const Milliseconds Limit(LimitMs);
+    const Milliseconds Grace = lapsedRecordGrace(Limit);
+    EXPECT_GE(Grace, Milliseconds(0));
+    EXPECT_TRUE(Grace == Milliseconds(0) || Grace + DispatchTime <= Limit)
+        << LimitMs;
+  }
+  EXPECT_GE(lapsedRecordGrace(Milliseconds(2500)), Seconds(2));
+}
+
 // Guards against keeping the holdings of an earlier incarnation: a restarted
 // engine is empty.
 TEST(EndpointTable, ARestartUnderTheSameIdForgetsWhatWasHeld) {
--- a/src/libgateway/exchange.cpp
+++ b/src/libgateway/exchange.cpp
@@ -463,12 +463,8 @@
   // The endpoint may have started to drain, or may have been removed, while
   // the connection was opened.
   E = m_core.m_endpoints.find(m_choice.m_endpoint);
-  if (!E || E->m_record.m_draining) {
-    C->close();
-    co_return AttemptOutcome::NotConnected;
-  }
   Now = clockNow();
-  if (Now >= m_deadline) {
+  if (!E || !E->acceptsRequests(Now) || Now >= m_deadline) {
     C->close();
     co_return AttemptOutcome::NotConnected;
   }
--- a/src/libgateway/gateway.cpp
+++ b/src/libgateway/gateway.cpp
@@ -148,7 +148,8 @@
   }
   if (m_storeUnavailable) {
     m_storeUnavailable = false;
-    m_lapsedRecordsUntil = Now + LapsedRecordGrace;
+    m_lapsedRecordsUntil =
+        Now + lapsedRecordGrace(m_core.m_settings.m_drainLimit);
     decisionlog::line(LogClass::Lifecycle, "store_back")
         .real("away_ms", toMillis(Now - m_lastStoreSuccess));
   }
@@ -195,7 +196,9 @@
 }
 
 TimePoint Gateway::lapsedRecordsUntil(TimePoint Now) const {
-  return m_storeUnavailable ? Now + LapsedRecordGrace : m_lapsedRecordsUntil;
+  return m_storeUnavailable
+             ? Now + lapsedRecordGrace(m_core.m_settings.m_drainLimit)
+             : m_lapsedRecordsUntil;
 }
 
 void Gateway::applyConfiguration(const StoreItem &Item) {
