libgateway: a watch does not undo what a later list already includes

Callers would see: a request at an endpoint that had left (DRAIN), for as long as the store takes to hand out the rest of its changes. Cause: the store is read with three lists, the watch starts at the revision of the first, and the changes that the later lists include were applied again. A removal before the endpoints' list was preceded by an older heartbeat: the endpoint returned until the next part of the changes came, a watch or a relay later. Change: changes up to the revision of the list that holds their keys are left out, for endpoints and gateways. Configurations have versions and were safe.

--- a/src/libgateway/gateway.cpp
+++ b/src/libgateway/gateway.cpp
@@ -295,7 +295,8 @@
   if (!List)
     co_return List.error();
   // The watch starts at the revision of the first list, which is the oldest. It
-  // repeats changes that the later lists already include, but misses none.
+  // repeats changes that the later lists already include, but misses none;
+  // applyChanges() leaves the repeated ones out.
   const std::uint64_t Revision = List.value().m_revision;
   for (const StoreItem &Item : List.value().m_items)
     if (Item.m_key == Key)
@@ -304,11 +305,13 @@
   onStoreResult(List.has_value(), "endpoints");
   if (!List)
     co_return List.error();
+  m_endpointsListedAt = List.value().m_revision;
   applyEndpoints(List.value());
   List = co_await m_store.range(GatewayPrefix);
   onStoreResult(List.has_value(), "gateways");
   if (!List)
     co_return List.error();
+  m_gatewaysListedAt = List.value().m_revision;
   m_gatewayItems.clear();
   for (const StoreItem &Item : List.value().m_items)
     m_gatewayItems[Item.m_key] = Item;
@@ -324,9 +327,13 @@
   bool GatewaysChanged = false;
   for (const StoreChange &C : Changes) {
     if (C.m_key.rfind(Endpoints, 0) == 0) {
+      if (C.m_revision <= m_endpointsListedAt)
+        continue;
       EndpointsChanged = true;
       applyEndpoint(C);
     } else if (C.m_key.rfind(GatewayPrefix, 0) == 0) {
+      if (C.m_revision <= m_gatewaysListedAt)
+        continue;
       GatewaysChanged = true;
       if (C.m_value)
         m_gatewayItems[C.m_key] = {C.m_key, *C.m_value, C.m_revision,
--- a/src/libgateway/gateway.h
+++ b/src/libgateway/gateway.h
@@ -135,6 +135,10 @@
   asio::signal_set m_signals;
   asio::steady_timer m_placementTimer;
   asio::steady_timer m_announcementTimer;
+  /// Revisions of the last lists of endpoints and of gateways: changes up to
+  /// them are included.
+  std::uint64_t m_endpointsListedAt = 0;
+  std::uint64_t m_gatewaysListedAt = 0;
   std::map<std::string, StoreItem> m_gatewayItems; ///< By key.
   std::string m_leaderName; ///< Value of LeaderKey; empty if none.
   bool m_claimInProgress = false;
