libgateway: one ledger holds what an engine may hold; a place is free only when the engine shows it

Callers would see: requests rejected or slow at engines that were ordered to load more than they have room for (LIMIT). Cause: one field said both "may be routed to" and "occupies a place", and was changed before the outcome of the order was known: an unload that was not executed left its place free. Class: state that is changed before its outcome. The same field was changed again by reports, by a fixed 20 s for waiting unloads, and by lists of unanswered and loading orders in the leader; each had its own rule. Change: EngineLedger (no I/O, now as argument) keeps what the engine held after a number of orders, and the orders whose effect is not shown yet. What requests may use and what takes a place are two answers of it. Leader and planner ask it before each order; nothing else counts places. MaxUnloadWait is gone: a waiting unload keeps its slot until a newer report lists it no more. While only a report can show an effect, or the engine's record differs for long, the leader reads one each 500 ms. The planner leaves out engines that get no order now, so that an engine whose order failed does not hold up a load elsewhere. A report does not omit an adapter whose requests run, as supposed.

--- a/src/libgateway/endpoints.cpp
+++ b/src/libgateway/endpoints.cpp
@@ -168,8 +168,7 @@
                            std::uint64_t Orders,
                            const std::vector<HeldModel> &Held, TimePoint Now) {
   Endpoint *E = find(Id);
-  if (!E || E->m_record.m_incarnation != Incarnation ||
-      Orders < E->m_orders.value_or(0))
+  if (!E || E->m_record.m_incarnation != Incarnation)
     return;
   E->m_held = Held;
   m_holdersValid = false;
@@ -183,25 +182,10 @@
                                         const std::vector<HeldModel> &Held,
                                         TimePoint Now) {
   const Endpoint *E = find(Id);
-  if (E && !E->m_controlledHere)
+  if (E && !E->m_controlledHere && Orders >= E->m_orders.value_or(0))
     onHeld(Id, Incarnation, Orders, Held, Now);
 }
 
-void EndpointTable::onReport(const std::string &Id, std::uint64_t Incarnation,
-                             std::uint64_t Orders,
-                             const std::vector<HeldModel> &Held,
-                             TimePoint Now) {
-  Endpoint *E = find(Id);
-  if (!E || E->m_record.m_incarnation != Incarnation)
-    return;
-  if (E->m_orders && Orders < *E->m_orders &&
-      Now - E->m_lastOrderTime < MaxReportAge)
-    return; // The report may lack the last order.
-  E->m_held = Held;
-  m_holdersValid = false;
-  E->m_orders = Orders;
-}
-
 void EndpointTable::onSent(const std::string &Id, RequestSize Size,
                            PlacedBy By) {
   Endpoint *E = find(Id);
--- a/src/libgateway/endpoints.h
+++ b/src/libgateway/endpoints.h
@@ -3,6 +3,7 @@
 #ifndef PRIMROSEWORKS_LIBGATEWAY_ENDPOINTS_H
 #define PRIMROSEWORKS_LIBGATEWAY_ENDPOINTS_H
 
+#include "libgateway/engineledger.h"
 #include "libgateway/types.h"
 
 #include <algorithm>
@@ -129,15 +130,6 @@
   return std::clamp(DrainLimit - DispatchTime, Milliseconds(0),
                     MaxLapsedRecordGrace);
 }
-/// Time after the last order during which endpoint records do not replace the
-/// known holdings: a record does not say which orders it includes. After a
-/// change, a record is written at least once per heartbeat.
-inline constexpr Milliseconds OrderSettleTime{2500};
-
-/// Maximum age of an engine's report. A report that arrives later than this
-/// after an order includes the order.
-inline constexpr Milliseconds MaxReportAge{700};
-
 class EndpointTable {
 public:
   /// A complete list of the registered endpoints. Endpoints that are not listed
@@ -158,19 +150,15 @@
   void removePeerLoads(const std::string &Peer);
   void removeAllPeerLoads();
   /// Takes an endpoint's holdings as announced by the placement leader. Ignored
-  /// for endpoints that this VM controls: a deposed leader may still announce
-  /// its plans.
+  /// for endpoints that this VM controls, since a deposed leader may still
+  /// announce its plans, and if a newer announcement was taken.
   void onAnnouncedHoldings(const std::string &Id, std::uint64_t Incarnation,
                            std::uint64_t Orders,
                            const std::vector<HeldModel> &Held, TimePoint Now);
-  /// Sets an endpoint's holdings after Orders orders.
+  /// Sets what requests may use of an endpoint after Orders orders.
   void onHeld(const std::string &Id, std::uint64_t Incarnation,
               std::uint64_t Orders, const std::vector<HeldModel> &Held,
               TimePoint Now);
-  /// Takes an engine's own report, which is a few hundred ms old.
-  void onReport(const std::string &Id, std::uint64_t Incarnation,
-                std::uint64_t Orders, const std::vector<HeldModel> &Held,
-                TimePoint Now);
   void onSent(const std::string &Id, RequestSize Size,
               PlacedBy By = PlacedBy::Local);
   void onPrefillDone(const std::string &Id, RequestSize Size,
--- a/src/libgateway/endpoints_test.cpp
+++ b/src/libgateway/endpoints_test.cpp
@@ -116,20 +116,6 @@
   EXPECT_TRUE(Table.find("e1")->holds("m2", ""));
 }
 
-// Guards against a delayed report undoing an order that it does not include.
-TEST(EndpointTable, ReportsOlderThanTheLastOrderAreIgnored) {
-  EndpointTable Table;
-  Table.onRecord(record("e1"), Start);
-  Table.onHeld("e1", 1, 5, {HeldModel{"m1", 1, {"a1"}}}, Start);
-  Table.onReport("e1", 1, 4, {HeldModel{"m1", 1, {}}},
-                 Start + Milliseconds(100));
-  EXPECT_TRUE(Table.find("e1")->holds("m1", "a1"));
-  Table.onReport("e1", 1, 4, {HeldModel{"m1", 1, {}}},
-                 Start + MaxReportAge + Milliseconds(1));
-  EXPECT_FALSE(Table.find("e1")->holds("m1", "a1"))
-      << "a report from after the order replaces the holdings";
-}
-
 TEST(EndpointTable, LoadIsTheSumOfOwnAndRecentPeers) {
   EndpointTable Table;
   Table.onRecord(record("e1"), Start);
--- a/src/libgateway/placement.cpp
+++ b/src/libgateway/placement.cpp
@@ -23,23 +23,6 @@
   return !E.m_leaving && !E.m_unresponsive;
 }
 
-double weightMb(const EngineSpec &Spec, const std::string &Model) {
-  auto It = Spec.m_models.find(Model);
-  return It == Spec.m_models.end() ? 0 : It->second.m_weightMb;
-}
-
-double adapterWeightMb(const EngineSpec &Spec, const std::string &Model) {
-  auto It = Spec.m_models.find(Model);
-  return It == Spec.m_models.end() ? 0 : It->second.m_adapterMb;
-}
-
-unsigned adapterCount(const PlacementEngine &E) {
-  std::size_t Count = E.m_loadingAdapters.size();
-  for (const HeldModel &M : E.m_held)
-    Count += M.m_adapters.size();
-  return static_cast<unsigned>(Count);
-}
-
 /// Builds the list of moves for one planning step.
 class Plan {
 public:
@@ -78,8 +61,7 @@
     m_enginesWithMove.insert(E.m_id);
   }
   bool fits(const PlacementEngine &E, const std::string &Model) const {
-    return usedMemoryMb(m_spec, E) + weightMb(m_spec, Model) <=
-           m_spec.m_memoryMb;
+    return E.m_occupancy.hasRoomFor(m_spec, {Model, ""});
   }
   const HeldModel *evictableModel(const PlacementEngine &E,
                                   double NewDemand) const;
@@ -157,20 +139,19 @@
     bool Loading = false;
     for (const PlacementEngine &E : m_input.m_engines) {
       if (!usable(E) || !heldModel(E, Name.first) ||
-          contains(E.m_unloading, Name.first))
+          contains(E.m_unloading, ArtifactName{Name.first, ""}) ||
+          contains(E.m_unloading, Name))
         continue;
       Loading = Loading || contains(E.m_loadingAdapters, Name);
-      if (heldModel(E, Name.first)->m_adapters.count(Name.second) || hasMove(E))
+      if (heldModel(E, Name.first)->m_adapters.count(Name.second) ||
+          hasMove(E) || E.m_busy)
         continue;
       ArtifactName Evictable;
-      const bool Full =
-          adapterCount(E) >= m_spec.m_adapterSlots ||
-          usedMemoryMb(m_spec, E) + adapterWeightMb(m_spec, Name.first) >
-              m_spec.m_memoryMb;
+      const bool Full = !E.m_occupancy.hasRoomFor(m_spec, Name);
       if (Full && !evictableAdapter(E, Evictable))
         continue;
       const double Score = E.m_load / std::max(1U, m_spec.m_slots) +
-                           static_cast<double>(adapterCount(E)) /
+                           static_cast<double>(E.m_occupancy.adapterSlots()) /
                                std::max(1U, m_spec.m_adapterSlots) +
                            (Full ? 1 : 0);
       if (!Best || Score < BestScore) {
@@ -181,11 +162,7 @@
     if (!Best || Loading)
       continue;
     ArtifactName Evictable;
-    const bool Full =
-        adapterCount(*Best) >= m_spec.m_adapterSlots ||
-        usedMemoryMb(m_spec, *Best) + adapterWeightMb(m_spec, Name.first) >
-            m_spec.m_memoryMb;
-    if (!Full)
+    if (Best->m_occupancy.hasRoomFor(m_spec, Name))
       move(*Best, OrderKind::Load, Name.first, Name.second, "adapter_wanted");
     else if (evictableAdapter(*Best, Evictable))
       move(*Best, OrderKind::Unload, Evictable.first, Evictable.second,
@@ -291,26 +268,6 @@
 
 } // namespace
 
-double usedMemoryMb(const EngineSpec &Spec, const PlacementEngine &Engine) {
-  double Used = 0;
-  std::set<std::string> Counted;
-  for (const HeldModel &M : Engine.m_held) {
-    Counted.insert(M.m_name);
-    Used += weightMb(Spec, M.m_name);
-    Used += adapterWeightMb(Spec, M.m_name) *
-            static_cast<double>(M.m_adapters.size());
-  }
-  for (const std::string &M : Engine.m_loading)
-    if (Counted.insert(M).second)
-      Used += weightMb(Spec, M);
-  for (const std::string &M : Engine.m_unloading)
-    if (Counted.insert(M).second)
-      Used += weightMb(Spec, M);
-  for (const ArtifactName &A : Engine.m_loadingAdapters)
-    Used += adapterWeightMb(Spec, A.first);
-  return Used;
-}
-
 std::vector<PlacementMove> planPlacement(const EngineSpec &Spec,
                                          const PlacementInput &Input,
                                          TimePoint Now) {
--- a/src/libgateway/placement.h
+++ b/src/libgateway/placement.h
@@ -11,6 +11,7 @@
 #ifndef PRIMROSEWORKS_LIBGATEWAY_PLACEMENT_H
 #define PRIMROSEWORKS_LIBGATEWAY_PLACEMENT_H
 
+#include "libgateway/engineledger.h"
 #include "libgateway/types.h"
 
 #include <map>
@@ -20,21 +21,18 @@
 
 namespace primroseworks::gateway {
 
-using ArtifactName = std::pair<std::string, std::string>; ///< {model, adapter}
-
 /// State of one engine, as input to the policy.
 struct PlacementEngine {
   std::string m_id;
-  std::vector<HeldModel> m_held;
-  std::vector<std::string> m_loading; ///< Models being loaded.
-  std::vector<ArtifactName>
-      m_loadingAdapters; ///< Adapters being loaded, or whose unload waits
-                         ///< for their requests.
-  std::vector<std::string>
-      m_cachedModels; ///< Weights in host memory or on disk.
+  std::vector<HeldModel> m_held;               ///< What requests may use.
+  std::vector<std::string> m_loading;          ///< Models being loaded.
+  std::vector<ArtifactName> m_loadingAdapters; ///< Adapters being loaded.
+  std::vector<ArtifactName> m_unloading;       ///< Artifacts being unloaded.
+  /// Everything that may take its memory or adapter slots.
+  Occupancy m_occupancy;
   std::vector<std::string>
-      m_unloading;     ///< Models being unloaded; still in memory.
-  bool m_busy = false; ///< Accepts no model order at present.
+      m_cachedModels;  ///< Weights in host memory or on disk.
+  bool m_busy = false; ///< Gets no order at present.
   bool m_leaving = false;
   bool m_unresponsive = false; ///< Its copies do not count as usable.
   double m_load = 0;           ///< Requests at the engine, running or queued.
@@ -101,10 +99,6 @@
                                          const PlacementInput &Input,
                                          TimePoint Now);
 
-/// Memory in MB used by the engine's models and adapters, including those that
-/// are being loaded or unloaded.
-double usedMemoryMb(const EngineSpec &Spec, const PlacementEngine &Engine);
-
 /// Token bucket that limits model loads to the rate of the weight store.
 class LoadLimiter {
 public:
--- a/src/libgateway/placement_test.cpp
+++ b/src/libgateway/placement_test.cpp
@@ -23,6 +23,26 @@
   return S;
 }
 
+/// Sets the occupancy of an engine to what it holds, loads and unloads.
+void occupy(PlacementEngine &E) {
+  E.m_occupancy = Occupancy();
+  for (const HeldModel &M : E.m_held)
+    E.m_occupancy.add(M);
+  for (const std::string &M : E.m_loading)
+    E.m_occupancy.add({M, ""});
+  for (const auto &Changing : {E.m_loadingAdapters, E.m_unloading})
+    for (const ArtifactName &A : Changing)
+      E.m_occupancy.add(A);
+}
+
+/// Plans moves at engines that hold what the input says.
+std::vector<PlacementMove> plan(const EngineSpec &Spec, PlacementInput In,
+                                TimePoint Now) {
+  for (PlacementEngine &E : In.m_engines)
+    occupy(E);
+  return planPlacement(Spec, In, Now);
+}
+
 PlacementEngine engine(const std::string &Id, std::vector<std::string> Models) {
   PlacementEngine E;
   E.m_id = Id;
@@ -52,7 +72,7 @@
     In.m_engines = m_engines;
     In.m_models = Demand;
     In.m_loadsAllowed = m_limiter.available(Now);
-    for (const PlacementMove &M : planPlacement(m_spec, In, Now))
+    for (const PlacementMove &M : plan(m_spec, In, Now))
       order(M, Now);
   }
   unsigned copies(const std::string &Model) const {
@@ -83,7 +103,8 @@
           E.m_held.begin(), E.m_held.end(),
           [&M](const HeldModel &H) { return H.m_name == M.m_model; }));
     E.m_loading = {Load};
-    ASSERT_LE(usedMemoryMb(m_spec, E), m_spec.m_memoryMb);
+    occupy(E);
+    ASSERT_LE(E.m_occupancy.memoryMb(m_spec), m_spec.m_memoryMb);
     m_limiter.take(Now);
     ++m_loads;
     m_done[M.m_engine] = Now + Milliseconds(2900);
@@ -167,7 +188,7 @@
   In.m_models["m1"] = {40, 0, 20};
   In.m_models["m3"] = {12, 25, 15};
   In.m_loadsAllowed = 1;
-  const std::vector<PlacementMove> Moves = planPlacement(S, In, Start);
+  const std::vector<PlacementMove> Moves = plan(S, In, Start);
   ASSERT_EQ(Moves.size(), 1U);
   EXPECT_EQ(Moves[0].m_model, "m3");
 }
@@ -190,9 +211,9 @@
   In.m_engines[1].m_load = 60;
   In.m_models["m3"] = {0, 5, 2};
   In.m_loadsAllowed = 3;
-  EXPECT_TRUE(planPlacement(S, In, Start).empty());
+  EXPECT_TRUE(plan(S, In, Start).empty());
   In.m_engines[1].m_load = 10;
-  const std::vector<PlacementMove> Moves = planPlacement(S, In, Start);
+  const std::vector<PlacementMove> Moves = plan(S, In, Start);
   ASSERT_EQ(Moves.size(), 1U);
   EXPECT_EQ(Moves[0].m_engine, "other");
   EXPECT_EQ(Moves[0].m_replacementModel, "m3");
@@ -205,7 +226,7 @@
   In.m_engines[1].m_cachedModels = {"m1"};
   In.m_models["m1"] = {0, 2, 1};
   In.m_loadsAllowed = 0;
-  const std::vector<PlacementMove> Moves = planPlacement(S, In, Start);
+  const std::vector<PlacementMove> Moves = plan(S, In, Start);
   ASSERT_EQ(Moves.size(), 1U);
   EXPECT_EQ(Moves[0].m_engine, "warm");
 }
@@ -224,13 +245,13 @@
   }
   In.m_wantedAdapters[{"m0", "a9"}] = 2;
   In.m_wantedAdapters[{"m0", "a0"}] = 1;
-  std::vector<PlacementMove> Moves = planPlacement(S, In, Start);
+  std::vector<PlacementMove> Moves = plan(S, In, Start);
   ASSERT_EQ(Moves.size(), 1U);
   EXPECT_EQ(Moves[0].m_kind, OrderKind::Unload);
   EXPECT_EQ(Moves[0].m_adapter, "a1") << "a0 is idle longer, but wanted";
   for (auto &[Name, Used] : In.m_adapterLastUsed)
     Used = Start;
-  EXPECT_TRUE(planPlacement(S, In, Start).empty());
+  EXPECT_TRUE(plan(S, In, Start).empty());
 }
 
 TEST(Placement, AnAdapterOnItsWayIsNotOrderedTwice) {
@@ -239,7 +260,7 @@
   In.m_engines = {engine("e1", {"m0"}), engine("e2", {"m0"})};
   In.m_engines[0].m_loadingAdapters = {{"m0", "a1"}};
   In.m_wantedAdapters[{"m0", "a1"}] = 3;
-  EXPECT_TRUE(planPlacement(S, In, Start).empty());
+  EXPECT_TRUE(plan(S, In, Start).empty());
 }
 
 // Guards against more loads in any window of five seconds than the weight store
--- a/src/libgateway/placementleader.cpp
+++ b/src/libgateway/placementleader.cpp
@@ -15,13 +15,6 @@
 
 TimePoint clockNow() { return std::chrono::steady_clock::now(); }
 
-HeldModel *findModel(std::vector<HeldModel> &Held, const std::string &Model) {
-  for (HeldModel &M : Held)
-    if (M.m_name == Model)
-      return &M;
-  return nullptr;
-}
-
 bool isCached(const Endpoint &E, const std::string &Model) {
   const std::vector<std::string> &Names = E.m_record.m_cachedModels;
   return std::find(Names.begin(), Names.end(), Model) != Names.end();
@@ -31,19 +24,52 @@
 
 void PlacementLeader::onClaimLost() {
   m_loadLimiter = LoadLimiter(1, LoadBurst);
-  m_unansweredOrders.clear();
-  requireFreshReports();
+  discardLedgers();
 }
 
 /// Requires a report from each engine before its next order, since orders of
 /// another leader, or the end of this one's own orders, may have been missed.
-void PlacementLeader::requireFreshReports() {
+void PlacementLeader::discardLedgers() {
+  m_ledgers.clear();
   for (auto &[Id, E] : m_core.m_endpoints.all())
     E.m_controlledHere = false;
 }
 
-/// Returns the state of an engine as input to the policy. Orders whose effect
-/// is not known yet count as using memory.
+EngineLedger *PlacementLeader::ledger(const std::string &Id) {
+  const auto It = m_ledgers.find(Id);
+  const Endpoint *E = m_core.m_endpoints.find(Id);
+  if (It == m_ledgers.end() || !E ||
+      It->second.incarnation() != E->m_record.m_incarnation)
+    return nullptr;
+  return &It->second;
+}
+
+const EngineLedger *PlacementLeader::ledger(const std::string &Id) const {
+  return const_cast<PlacementLeader *>(this)->ledger(Id);
+}
+
+EngineLedger &PlacementLeader::obtainLedger(const Endpoint &E) {
+  if (EngineLedger *Known = ledger(E.m_record.m_id))
+    return *Known;
+  return m_ledgers
+      .insert_or_assign(E.m_record.m_id, EngineLedger(E.m_record.m_incarnation))
+      .first->second;
+}
+
+void PlacementLeader::publish(const std::string &Id, TimePoint Now) {
+  const EngineLedger *L = ledger(Id);
+  Endpoint *E = m_core.m_endpoints.find(Id);
+  if (!L || !L->orders() || !E)
+    return;
+  E->m_controlledHere = L->controlled();
+  m_core.m_endpoints.onHeld(Id, L->incarnation(), *L->orders(), L->usable(Now),
+                            Now);
+  m_onChanged(Id);
+  m_core.dispatchWaiting(Now);
+}
+
+/// Returns the state of an engine as input to the policy. Before its first
+/// report, the engine's own record tells what it holds; it gets no order then.
 PlacementEngine PlacementLeader::engineState(const Endpoint &E,
                                              TimePoint Now) const {
   PlacementEngine P;
@@ -55,36 +81,27 @@
   P.m_cachedModels = E.m_record.m_cachedModels;
   const auto Backoff = m_backoff.find(P.m_id);
   P.m_busy = Backoff != m_backoff.end() && Backoff->second > Now;
-  const auto PendingIt = m_pendingOrders.find(P.m_id);
-  if (PendingIt != m_pendingOrders.end()) {
-    const PlacementMove &M = PendingIt->second.m_move;
-    P.m_busy = true;
-    if (!M.m_adapter.empty() && M.m_kind == OrderKind::Load)
-      P.m_loadingAdapters.push_back({M.m_model, M.m_adapter});
-    else if (M.m_adapter.empty() && M.m_kind == OrderKind::Load)
-      P.m_loading.push_back(M.m_model);
-    else if (M.m_adapter.empty())
-      P.m_unloading.push_back(M.m_model);
-    if (!M.m_replacementModel.empty())
-      P.m_loading.push_back(M.m_replacementModel);
+  const EngineLedger *L = ledger(P.m_id);
+  if (L && L->orders()) {
+    P.m_occupancy = L->occupancy();
+    for (const auto &[Model, Adapter] : L->changing(OrderKind::Load))
+      if (Adapter.empty())
+        P.m_loading.push_back(Model);
+    P.m_unloading = L->changing(OrderKind::Unload);
+    P.m_loadingAdapters = L->arrivingAdapters(Now);
+  } else {
+    for (const HeldModel &M : E.m_held)
+      P.m_occupancy.add(M);
+  }
+  const auto Pending = m_pendingOrders.find(P.m_id);
+  if (Pending == m_pendingOrders.end())
+    return P;
+  P.m_busy = true;
+  const std::string &Replacement = Pending->second.m_move.m_replacementModel;
+  if (!Replacement.empty()) {
+    P.m_loading.push_back(Replacement);
+    P.m_occupancy.add({Replacement, ""});
   }
-  const auto Loading = m_loadingAdapters.find(P.m_id);
-  if (Loading != m_loadingAdapters.end())
-    P.m_loadingAdapters.insert(P.m_loadingAdapters.end(),
-                               Loading->second.begin(), Loading->second.end());
-  const auto Unloading = m_unloadingAdapters.find(P.m_id);
-  if (Unloading != m_unloadingAdapters.end())
-    for (const auto &[Name, Until] : Unloading->second)
-      if (Now < Until && !E.holds(Name.first, Name.second))
-        P.m_loadingAdapters.push_back(Name);
-  const auto Unanswered = m_unansweredOrders.find(P.m_id);
-  if (Unanswered != m_unansweredOrders.end())
-    for (const PlacementMove &M : Unanswered->second) {
-      if (!M.m_adapter.empty())
-        P.m_loadingAdapters.push_back({M.m_model, M.m_adapter});
-      else
-        P.m_unloading.push_back(M.m_model);
-    }
   return P;
 }
 
@@ -106,16 +123,15 @@
   return In;
 }
 
-/// Whether everything that the engine may hold, including the load in progress,
-/// fits in its memory.
-bool PlacementLeader::fits(const Endpoint &E, TimePoint Now) const {
+/// Whether the ledger of the engine allows a load.
+bool PlacementLeader::mayLoad(const Endpoint &E,
+                              const PlacementMove &Load) const {
   const auto Target =
       m_core.m_configuration->m_services.find(E.m_record.m_service);
-  if (Target == m_core.m_configuration->m_services.end() ||
-      !Target->second.m_engine)
-    return false;
-  const EngineSpec &Spec = *Target->second.m_engine;
-  return usedMemoryMb(Spec, engineState(E, Now)) <= Spec.m_memoryMb;
+  const EngineLedger *L = ledger(Load.m_engine);
+  return L && Target != m_core.m_configuration->m_services.end() &&
+         Target->second.m_engine &&
+         L->mayLoad(*Target->second.m_engine, {Load.m_model, Load.m_adapter});
 }
 
 /// Logs the planning input, at most once per InputLogInterval.
@@ -159,9 +175,10 @@
   if (!m_core.m_configuration || !m_core.m_endpointsKnown)
     return;
   if (!m_claim.tokenAt(BootClock::now())) {
-    requireFreshReports();
+    discardLedgers();
     return;
   }
+  pollUnsettled(Now);
   for (const auto &[Name, Target] : m_core.m_configuration->m_services) {
     if (!Target.m_engine)
       continue;
@@ -188,17 +205,25 @@
   co_await Timer.async_wait(asio::redirect_error(asio::use_awaitable, Ignored));
 }
 
+/// Reads the reports of engines at which only a report can show the effect of
+/// an order.
+void PlacementLeader::pollUnsettled(TimePoint Now) {
+  for (const auto &[Id, E] : m_core.m_endpoints.all()) {
+    const EngineLedger *L = ledger(Id);
+    if (!L || m_pendingOrders.count(Id) || Now < m_nextPoll[Id] ||
+        !(L->unsettled() || L->disagrees(E.m_record.m_models, Now)))
+      continue;
+    m_nextPoll[Id] = Now + UnsettledPollInterval;
+    asio::co_spawn(m_core.m_io, refreshFromReport(Id), asio::detached);
+  }
+}
+
 asio::awaitable<OrderResult> PlacementLeader::send(PlacementMove Move,
-                                                   std::uint64_t Expected) {
+                                                   EngineOrder Order) {
   const Endpoint *E = m_core.m_endpoints.find(Move.m_engine);
   const std::optional<std::uint64_t> Token = m_claim.tokenAt(BootClock::now());
   if (!E || !Token)
     co_return OrderResult::NotExecuted;
-  EngineOrder Order;
-  Order.m_kind = Move.m_kind;
-  Order.m_model = Move.m_model;
-  Order.m_adapter = Move.m_adapter;
-  Order.m_expected = Expected;
   Order.m_holder = m_holder;
   Order.m_fencingToken = *Token;
   const std::string Address = E->m_record.m_address;
@@ -221,23 +246,22 @@
       .text("model", Move.m_model)
       .text("adapter", Move.m_adapter)
       .text("reason", Move.m_reason)
-      .number("expected", static_cast<std::int64_t>(Expected))
+      .number("expected", static_cast<std::int64_t>(Order.m_expected))
       .number("token", static_cast<std::int64_t>(*Token))
       .text("result", nameOf(OrderResultNames, Outcome))
       .real("took_ms", toMillis(clockNow() - Sent));
   co_return Outcome;
 }
 
-/// Updates the engine's known holdings from its report. The report lags, so the
-/// endpoint table ignores one that lacks the last order until that order is
-/// older than MaxReportAge. Returns true if the report was taken and the engine
-/// is idle.
+/// Enters the engine's report in its ledger. Returns true if the report was
+/// taken and the engine is idle.
 asio::awaitable<bool> PlacementLeader::refreshFromReport(std::string Id) {
   const Endpoint *E = m_core.m_endpoints.find(Id);
   if (!E)
     co_return false;
   const std::string Address = E->m_record.m_address;
   const std::uint64_t Incarnation = E->m_record.m_incarnation;
+  const TimePoint RequestedAt = clockNow();
   Result<HttpClientResponse> Response = co_await callHttp(
       m_core.m_io, m_core.m_pool, Id + '@' + Address, Address,
       m_core.m_dialect.reportRequest(E->m_record), OrderTimeout);
@@ -251,69 +275,33 @@
         .text("error", Report.error().m_message);
     co_return false;
   }
-  const EngineReport &R = Report.value();
   E = m_core.m_endpoints.find(Id);
-  if (E && R.m_orders > E->m_orders.value_or(0))
-    // The report includes the order without a response.
-    m_unansweredOrders.erase(Id);
-  std::vector<HeldModel> Held = R.m_models;
+  if (!E || E->m_record.m_incarnation != Incarnation ||
+      !m_claim.tokenAt(BootClock::now()))
+    co_return false;
+  const EngineReport &R = Report.value();
+  EngineLedger &L = obtainLedger(*E);
+  logReport(Id, R, L.orders());
+  if (!L.onReport(R, RequestedAt, clockNow()))
+    co_return false;
+  publish(Id, clockNow());
+  co_return !R.m_busy;
+}
+
+/// Logs an engine's report beside the number of orders that the ledger knows.
+void PlacementLeader::logReport(const std::string &Id, const EngineReport &R,
+                                std::optional<std::uint64_t> KnownOrders) {
   std::string Names;
-  for (const HeldModel &M : Held)
-    Names += M.m_name + ' ';
+  for (const HeldModel &M : R.m_models)
+    Names += fmt::format("{}[{}] ", M.m_name, fmt::join(M.m_adapters, " "));
   decisionlog::line(LogClass::KnownState, "report")
       .text("endpoint", Id)
       .number("orders", static_cast<std::int64_t>(R.m_orders))
       .number("known_orders",
-              E ? static_cast<std::int64_t>(E->m_orders.value_or(0)) : -1)
+              KnownOrders ? static_cast<std::int64_t>(*KnownOrders) : -1)
       .number("busy", R.m_busy ? 1 : 0)
       .number("coming", static_cast<std::int64_t>(R.m_loadingAdapters.size()))
       .text("models", Names);
-  auto It = m_pendingOrders.find(Id);
-  if (It != m_pendingOrders.end() && It->second.m_move.m_adapter.empty() &&
-      It->second.m_move.m_kind == OrderKind::Unload && R.m_busy) {
-    // A model being unloaded still runs requests but accepts no new ones.
-    const std::string &Unloading = It->second.m_move.m_model;
-    Held.erase(std::remove_if(Held.begin(), Held.end(),
-                              [&Unloading](const HeldModel &M) {
-                                return M.m_name == Unloading;
-                              }),
-               Held.end());
-  }
-  // An adapter that was ordered here and is still being loaded keeps its slot.
-  for (const auto &[Model, Adapter] : R.m_loadingAdapters) {
-    HeldModel *M = findModel(Held, Model);
-    if (M && E && E->holds(Model, Adapter))
-      M->m_adapters.insert(Adapter);
-  }
-  m_core.m_endpoints.onReport(Id, Incarnation, R.m_orders, Held, clockNow());
-  E = m_core.m_endpoints.find(Id);
-  co_return E && E->m_orders == R.m_orders && !R.m_busy &&
-      R.m_loadingAdapters.empty();
-}
-
-/// Updates the engine's known holdings for an order that takes effect.
-void PlacementLeader::applyToHoldings(const PlacementMove &Move,
-                                      std::uint64_t Orders, TimePoint Now) {
-  const Endpoint *E = m_core.m_endpoints.find(Move.m_engine);
-  if (!E)
-    return;
-  std::vector<HeldModel> Held = E->m_held;
-  HeldModel *Model = findModel(Held, Move.m_model);
-  if (Move.m_kind == OrderKind::Load) {
-    if (Move.m_adapter.empty() && !Model)
-      Held.push_back(HeldModel{Move.m_model, 0, {}});
-    else if (!Move.m_adapter.empty() && Model)
-      Model->m_adapters.insert(Move.m_adapter);
-  } else if (Model) {
-    if (!Move.m_adapter.empty())
-      Model->m_adapters.erase(Move.m_adapter);
-    else
-      Held.erase(Held.begin() + (Model - Held.data()));
-  }
-  m_core.m_endpoints.onHeld(Move.m_engine, E->m_record.m_incarnation, Orders,
-                            Held, Now);
-  m_onChanged(Move.m_engine);
-  m_core.dispatchWaiting(Now);
 }
 
 /// Polls the engine until its report shows the end of a model's load or unload.
@@ -328,7 +316,7 @@
       co_return false;
     const bool Idle = co_await refreshFromReport(Move.m_engine);
     const Endpoint *E = m_core.m_endpoints.find(Move.m_engine);
-    if (!E)
+    if (!E || !ledger(Move.m_engine))
       co_return false;
     const bool Present = E->held(Move.m_model) != nullptr;
     if (Move.m_kind == OrderKind::Load && Present)
@@ -344,158 +332,106 @@
   co_return false;
 }
 
-/// Sends an order for a model and waits until it took effect.
-asio::awaitable<bool> PlacementLeader::orderModel(PlacementMove Move) {
+/// Sends an order and enters its outcome. Waits until a model's load or unload
+/// took effect; engines accept further orders while they load an adapter.
+asio::awaitable<bool> PlacementLeader::executeOrder(PlacementMove Move) {
   const Endpoint *E = m_core.m_endpoints.find(Move.m_engine);
-  if (!E || !E->m_orders)
+  EngineLedger *L = ledger(Move.m_engine);
+  if (!E || !L || !L->acceptsOrders())
     co_return false;
-  if (Move.m_kind == OrderKind::Load && !fits(*E, clockNow())) {
+  const bool IsModel = Move.m_adapter.empty();
+  const bool IsLoad = Move.m_kind == OrderKind::Load;
+  const TimePoint Since = clockNow();
+  if (IsLoad && !mayLoad(*E, Move)) {
     m_core.m_metrics->count("load_without_room");
-    m_backoff[Move.m_engine] = clockNow() + OrderBackoff;
+    m_backoff[Move.m_engine] = Since + OrderBackoff;
     co_return false;
   }
-  if (Move.m_kind == OrderKind::Load && !isCached(*E, Move.m_model))
-    m_loadLimiter.take(clockNow());
-  const std::uint64_t Expected = *E->m_orders;
-  const std::uint64_t Incarnation = E->m_record.m_incarnation;
-  // No request may be routed to a model that is about to be unloaded.
-  if (Move.m_kind == OrderKind::Unload)
-    applyToHoldings(Move, Expected, clockNow());
-  const TimePoint Since = clockNow();
-  const OrderResult Outcome = co_await send(Move, Expected);
-  if (Outcome != OrderResult::Accepted) {
-    co_await onOrderNotAccepted(Move, Outcome);
-    co_return Outcome == OrderResult::AlreadyHolds;
-  }
-  // Once this order is accepted, earlier orders without a response can no
-  // longer take effect: the count they expect does not match the engine's.
-  m_unansweredOrders.erase(Move.m_engine);
-  E = m_core.m_endpoints.find(Move.m_engine);
-  if (!E)
-    co_return false;
-  m_core.m_endpoints.onHeld(Move.m_engine, Incarnation, Expected + 1, E->m_held,
-                            clockNow());
-  const bool Done = co_await awaitModel(Move, Since);
-  Endpoint *Engine = m_core.m_endpoints.find(Move.m_engine);
-  if (!Done && Engine)
-    Engine->m_controlledHere = false; // The load may still be in progress.
-  m_onChanged(Move.m_engine);
-  m_core.dispatchWaiting(clockNow());
-  co_return Done;
-}
-
-/// Sends an order for an adapter. The engine accepts further orders while it
-/// loads the adapter.
-asio::awaitable<bool> PlacementLeader::orderAdapter(PlacementMove Move) {
-  const Endpoint *E = m_core.m_endpoints.find(Move.m_engine);
-  if (!E || !E->m_orders)
+  if (IsLoad && IsModel && !isCached(*E, Move.m_model))
+    m_loadLimiter.take(Since);
+  EngineOrder Order;
+  Order.m_kind = Move.m_kind;
+  Order.m_model = Move.m_model;
+  Order.m_adapter = Move.m_adapter;
+  Order.m_expected = *L->orders();
+  L->onSent(Order);
+  // No request may be routed to what is about to be unloaded.
+  if (!IsLoad)
+    publish(Move.m_engine, Since);
+  const OrderResult Outcome = co_await send(Move, Order);
+  L = ledger(Move.m_engine);
+  if (L)
+    L->onResult(Outcome, clockNow());
+  publish(Move.m_engine, clockNow());
+  if (!L)
     co_return false;
-  const std::uint64_t Expected = *E->m_orders;
-  if (Move.m_kind == OrderKind::Unload)
-    applyToHoldings(Move, Expected, clockNow());
-  const OrderResult Outcome = co_await send(Move, Expected);
-  const bool Load = Move.m_kind == OrderKind::Load;
-  // An adapter unload that completes at once is answered with status 200, but
-  // still counts as an order.
-  const bool Counted = Outcome == OrderResult::Accepted ||
-                       (Outcome == OrderResult::AlreadyHolds && !Load);
-  if (Counted) {
-    m_unansweredOrders.erase(Move.m_engine);
-    E = m_core.m_endpoints.find(Move.m_engine);
-    if (!E)
-      co_return false;
-    m_core.m_endpoints.onHeld(Move.m_engine, E->m_record.m_incarnation,
-                              Expected + 1, E->m_held, clockNow());
-    if (Load)
-      asio::co_spawn(m_core.m_io, finishAdapterLoad(Move), asio::detached);
-    else
-      m_onChanged(Move.m_engine);
-    if (!Load && Outcome == OrderResult::Accepted)
-      reserveUntilUnloaded(Move);
-    co_return true;
+  const bool Unloaded =
+      !IsModel && !IsLoad && Outcome == OrderResult::AlreadyHolds;
+  if (Outcome != OrderResult::Accepted && !Unloaded) {
+    const bool Holds = co_await onOrderNotAccepted(Move, Outcome);
+    co_return Holds;
   }
-  if (Outcome == OrderResult::AlreadyHolds) {
-    applyToHoldings(Move, Expected, clockNow());
-    co_return true;
+  if (IsModel) {
+    const bool Done = co_await awaitModel(Move, Since);
+    L = ledger(Move.m_engine);
+    if (!Done && L)
+      L->loseControl(); // The load may still be in progress.
+    publish(Move.m_engine, clockNow());
+    co_return Done;
   }
-  co_await onOrderNotAccepted(Move, Outcome);
-  co_return false;
-}
-
-/// Reserves the slot of an adapter whose unload was accepted but did not
-/// complete at once: the adapter is in use. The slot stays reserved for
-/// MaxUnloadWait, as a report may omit the adapter before its slot is free.
-void PlacementLeader::reserveUntilUnloaded(const PlacementMove &Move) {
-  m_core.m_metrics->count("adapter_unload_waits");
-  m_backoff[Move.m_engine] = clockNow() + OrderBackoff;
-  m_unloadingAdapters[Move.m_engine][{Move.m_model, Move.m_adapter}] =
-      clockNow() + MaxUnloadWait;
-  if (Endpoint *Engine = m_core.m_endpoints.find(Move.m_engine))
-    Engine->m_controlledHere = false;
+  if (IsLoad) {
+    asio::co_spawn(m_core.m_io, finishAdapterLoad(Move), asio::detached);
+  } else if (!Unloaded) {
+    m_core.m_metrics->count("adapter_unload_waits");
+    m_backoff[Move.m_engine] = clockNow() + OrderBackoff;
+  }
+  co_return true;
 }
 
 /// Makes an adapter available to requests after AdapterLoadTime.
 asio::awaitable<void> PlacementLeader::finishAdapterLoad(PlacementMove Move) {
-  const ArtifactName Name{Move.m_model, Move.m_adapter};
-  m_loadingAdapters[Move.m_engine].insert(Name);
   co_await sleepFor(AdapterLoadTime);
-  m_core.m_fleetDemand.onLoaded(Name, clockNow());
-  auto It = m_loadingAdapters.find(Move.m_engine);
-  if (It != m_loadingAdapters.end()) {
-    It->second.erase(Name);
-    if (It->second.empty())
-      m_loadingAdapters.erase(It);
-  }
-  const Endpoint *E = m_core.m_endpoints.find(Move.m_engine);
-  if (E)
-    applyToHoldings(Move, E->m_orders.value_or(0), clockNow());
+  m_core.m_fleetDemand.onLoaded({Move.m_model, Move.m_adapter}, clockNow());
+  publish(Move.m_engine, clockNow());
 }
 
-/// Handles an order that was not accepted.
-asio::awaitable<void> PlacementLeader::onOrderNotAccepted(PlacementMove Move,
+/// Handles an order that was not accepted. Returns whether its effect holds
+/// all the same.
+asio::awaitable<bool> PlacementLeader::onOrderNotAccepted(PlacementMove Move,
                                                           OrderResult Outcome) {
   if (Outcome == OrderResult::Fenced) {
     decisionlog::line(LogClass::Lifecycle, "leader_fenced")
         .text("endpoint", Move.m_engine);
     m_claim.onFenced();
-    co_return;
+    co_return false;
   }
-  if (Outcome == OrderResult::Unknown && Move.m_kind == OrderKind::Load)
-    m_unansweredOrders[Move.m_engine].push_back(Move);
+  const bool Holds = Outcome == OrderResult::AlreadyHolds;
+  if (Holds && !Move.m_adapter.empty())
+    co_return true;
   m_backoff[Move.m_engine] = clockNow() + OrderBackoff;
-  if (Outcome == OrderResult::NotExecuted)
-    co_return;
-  // The engine may be executing an order that is not known here, so it gets no
-  // order until a report shows it idle.
-  Endpoint *Engine = m_core.m_endpoints.find(Move.m_engine);
-  if (Engine)
-    Engine->m_controlledHere = false;
-  co_await sleepFor(MaxReportAge / 2);
+  // Any other outcome needs a report, which lags.
+  if (Outcome != OrderResult::NotExecuted)
+    co_await sleepFor(MaxReportAge / 2);
+  co_return Holds;
 }
 
 asio::awaitable<void> PlacementLeader::executeMove(PlacementMove Move) {
-  const Endpoint *E = m_core.m_endpoints.find(Move.m_engine);
   bool Done = false;
-  if (E && !E->m_controlledHere) {
+  const EngineLedger *L = ledger(Move.m_engine);
+  if (!L || !L->acceptsOrders()) {
     // The number of orders that the engine accepted and its loads in progress
     // are not known, as after a change of leader: read its report and plan
     // again.
-    const bool Idle = co_await refreshFromReport(Move.m_engine);
-    Endpoint *Engine = m_core.m_endpoints.find(Move.m_engine);
-    if (Engine && Idle)
-      Engine->m_controlledHere = true;
-    else
+    if (!co_await refreshFromReport(Move.m_engine))
       m_backoff[Move.m_engine] = clockNow() + OrderBackoff;
-  } else if (E && !Move.m_adapter.empty()) {
-    Done = co_await orderAdapter(Move);
-  } else if (E) {
-    Done = co_await orderModel(Move);
+  } else {
+    Done = co_await executeOrder(Move);
     if (Done && !Move.m_replacementModel.empty()) {
       const PlacementMove Load{Move.m_engine,           OrderKind::Load,
                                Move.m_replacementModel, "",
                                Move.m_reason,           ""};
       m_pendingOrders[Move.m_engine].m_move = Load;
-      Done = co_await orderModel(Load);
+      Done = co_await executeOrder(Load);
     }
   }
   if (!Done)
--- a/src/libgateway/placementleader.h
+++ b/src/libgateway/placementleader.h
@@ -1,10 +1,11 @@
 // Executes placement moves while this VM is the placement leader. Sends orders
-// to the engines, one at a time per engine, and keeps track of what each engine
-// holds afterwards.
+// to the engines, one at a time per engine, and enters their outcomes and the
+// engines' reports in a ledger for each of them.
 #ifndef PRIMROSEWORKS_LIBGATEWAY_PLACEMENTLEADER_H
 #define PRIMROSEWORKS_LIBGATEWAY_PLACEMENTLEADER_H
 
 #include "libgateway/core.h"
+#include "libgateway/engineledger.h"
 #include "libgateway/leadership.h"
 #include "libgateway/peeraudience.h"
 #include "libgateway/placement.h"
@@ -19,9 +20,6 @@
 
 /// Timeout of an order or of the request for an engine's report.
 inline constexpr Milliseconds OrderTimeout{700};
-/// Time from the acceptance of an adapter load until requests may use the
-/// adapter.
-inline constexpr Milliseconds AdapterLoadTime{30};
 /// Interval between polls of an engine that loads or unloads a model: a share
 /// of the time elapsed, and its minimum.
 inline constexpr double PollIntervalShare = 0.2;
@@ -33,10 +31,9 @@
 inline constexpr double LoadBurst = 3;
 /// Time without new orders to an engine after an order to it failed.
 inline constexpr Milliseconds OrderBackoff{400};
-
-/// Time for which an adapter whose unload waits for its requests counts as
-/// occupying its slot: a report may omit it before the slot is free.
-inline constexpr Seconds MaxUnloadWait{20};
+/// Interval between the reports that are read while only a report can show the
+/// effect of an order.
+inline constexpr Milliseconds UnsettledPollInterval{500};
 /// Interval between log lines on the planning input.
 inline constexpr Milliseconds InputLogInterval{1000};
 
@@ -61,22 +58,28 @@
   };
   PlacementInput input(const std::string &ServiceName, TimePoint Now);
   asio::awaitable<void> executeMove(PlacementMove Move);
-  asio::awaitable<OrderResult> send(PlacementMove Move, std::uint64_t Expected);
+  asio::awaitable<OrderResult> send(PlacementMove Move, EngineOrder Order);
   asio::awaitable<bool> refreshFromReport(std::string Id);
   asio::awaitable<bool> awaitModel(PlacementMove Move, TimePoint Since);
   void logInput(const PlacementInput &In, TimePoint Now);
+  static void logReport(const std::string &Id, const EngineReport &R,
+                        std::optional<std::uint64_t> KnownOrders);
   PlacementEngine engineState(const Endpoint &E, TimePoint Now) const;
-  void requireFreshReports();
+  void discardLedgers();
   unsigned pendingReplacementLoads() const;
-  bool fits(const Endpoint &E, TimePoint Now) const;
-  asio::awaitable<bool> orderModel(PlacementMove Move);
-  asio::awaitable<bool> orderAdapter(PlacementMove Move);
-  void reserveUntilUnloaded(const PlacementMove &Move);
+  /// The ledger of an engine's present incarnation; null if there is no such
+  /// engine or no ledger yet.
+  EngineLedger *ledger(const std::string &Id);
+  const EngineLedger *ledger(const std::string &Id) const;
+  EngineLedger &obtainLedger(const Endpoint &E);
+  /// Makes what requests may use of an engine known here and to the peers.
+  void publish(const std::string &Id, TimePoint Now);
+  void pollUnsettled(TimePoint Now);
+  bool mayLoad(const Endpoint &E, const PlacementMove &Load) const;
+  asio::awaitable<bool> executeOrder(PlacementMove Move);
   asio::awaitable<void> finishAdapterLoad(PlacementMove Move);
-  asio::awaitable<void> onOrderNotAccepted(PlacementMove Move,
+  asio::awaitable<bool> onOrderNotAccepted(PlacementMove Move,
                                            OrderResult Outcome);
-  void applyToHoldings(const PlacementMove &Move, std::uint64_t Orders,
-                       TimePoint Now);
   asio::awaitable<void> sleepFor(Duration Time);
 
   Core &m_core;
@@ -86,15 +89,10 @@
   LoadLimiter m_loadLimiter;
   TimePoint m_lastInputLog{}; ///< Last log line on the planning input.
   std::map<std::string, PendingOrder> m_pendingOrders; ///< By endpoint id.
-  /// Adapters being loaded, by endpoint id.
-  std::map<std::string, std::set<ArtifactName>> m_loadingAdapters;
-  /// Adapters whose unload waits for their requests, by endpoint id, with the
-  /// time until which each of them occupies its slot.
-  std::map<std::string, std::map<ArtifactName, TimePoint>> m_unloadingAdapters;
+  std::map<std::string, EngineLedger> m_ledgers;       ///< By endpoint id.
+  std::map<std::string, TimePoint> m_nextPoll;         ///< By endpoint id.
   std::map<std::string, TimePoint>
       m_backoff; ///< By endpoint id: no order before this time.
-  /// Load orders without a response, by endpoint id: they may use memory.
-  std::map<std::string, std::vector<PlacementMove>> m_unansweredOrders;
 };
 
 } // namespace primroseworks::gateway
--- a/src/libgateway/types.h
+++ b/src/libgateway/types.h
@@ -113,6 +113,8 @@
   std::set<std::string> m_adapters;
 };
 
+using ArtifactName = std::pair<std::string, std::string>; ///< {model, adapter}
+
 /// An endpoint's record of itself in the metadata store.
 struct EndpointRecord {
   std::string m_id;
@@ -137,7 +139,7 @@
   std::vector<HeldModel> m_models;
   /// Adapters being loaded, as (model, adapter); they already occupy adapter
   /// slots.
-  std::vector<std::pair<std::string, std::string>> m_loadingAdapters;
+  std::vector<ArtifactName> m_loadingAdapters;
 };
 
 /// A segment of a prompt that other requests may share.
