libgateway: a load that was not executed gives its unit of the weight store back

Callers would see: requests for a model without a copy that wait longer after an order for its load did not reach the engine. Cause: the unit is taken before the order is sent and was kept whatever the outcome. Change: refused, conflicting and unsent loads return their unit; one without an answer keeps it, since it may have begun. Looked at and left: leases and claims are entered from the time of sending after their answer (LeaderClaim); a retry is counted before it is sent, on the safe side; late grants of coordinators are returned (Scheduler.LateGrantsAreReturned); an adapter counts as usable 30 ms after its load was accepted, which at worst costs a refused attempt.

--- a/src/libgateway/placement.cpp
+++ b/src/libgateway/placement.cpp
@@ -296,4 +296,9 @@
   m_credit = std::max(0.0, m_credit - 1);
 }
 
+void LoadLimiter::giveBack(TimePoint Now) {
+  refill(Now);
+  m_credit = std::min(m_burst, m_credit + 1);
+}
+
 } // namespace primroseworks::gateway
--- a/src/libgateway/placement.h
+++ b/src/libgateway/placement.h
@@ -106,6 +106,8 @@
   LoadLimiter(double Rate, double Burst) : m_rate(Rate), m_burst(Burst) {}
   unsigned available(TimePoint Now);
   void take(TimePoint Now);
+  /// Returns the unit of a load that did not begin.
+  void giveBack(TimePoint Now);
   void setRate(double Rate) { m_rate = Rate; }
 
 private:
--- a/src/libgateway/placement_test.cpp
+++ b/src/libgateway/placement_test.cpp
@@ -263,6 +263,20 @@
   EXPECT_TRUE(plan(S, In, Start).empty());
 }
 
+// Guards against a weight store that stays unused because orders for loads did
+// not reach their engines.
+TEST(LoadLimiter, LoadThatDidNotBeginCostsNothing) {
+  LoadLimiter Limiter(1.2, 3);
+  ASSERT_EQ(Limiter.available(Start), 1U);
+  Limiter.take(Start);
+  EXPECT_EQ(Limiter.available(Start), 0U);
+  Limiter.giveBack(Start);
+  EXPECT_EQ(Limiter.available(Start), 1U);
+  for (int I = 0; I < 9; ++I)
+    Limiter.giveBack(Start);
+  EXPECT_EQ(Limiter.available(Start), 3U) << "never more than the burst";
+}
+
 // Guards against more loads in any window of five seconds than the weight store
 // allows.
 TEST(LoadLimiter, StaysBelowTheRateInEveryWindow) {
--- a/src/libgateway/placementleader.cpp
+++ b/src/libgateway/placementleader.cpp
@@ -347,7 +347,8 @@
     m_backoff[Move.m_engine] = Since + OrderBackoff;
     co_return false;
   }
-  if (IsLoad && IsModel && !isCached(*E, Move.m_model))
+  const bool FromWeightStore = IsLoad && IsModel && !isCached(*E, Move.m_model);
+  if (FromWeightStore)
     m_loadLimiter.take(Since);
   EngineOrder Order;
   Order.m_kind = Move.m_kind;
@@ -359,6 +360,9 @@
   if (!IsLoad)
     publish(Move.m_engine, Since);
   const OrderResult Outcome = co_await send(Move, Order);
+  if (FromWeightStore && Outcome != OrderResult::Accepted &&
+      Outcome != OrderResult::Unknown)
+    m_loadLimiter.giveBack(clockNow());
   L = ledger(Move.m_engine);
   if (L)
     L->onResult(Outcome, clockNow());
