libgateway: a watch is given up by the age of the copy of the store

Callers would see: changes in effect too late (CONFIG, DRAIN) where the copy of the store was old already when a watch began that is never answered: after another lost response, or behind a coordinator that stopped relaying 1.2 s ago. Cause: the wait of a watch took account of the pause before it only. Worst sum for a VM behind a frozen coordinator at a limit of 4 s, from the code: without a relay 1.2 s, then wait + 0.9 s + 0.1 s + 0.3 s; with 88 gateways (wait 1.5 s) 4.0 s, with 12 (wait 2.5 s) 5.0 s, over the limit. A list also confirmed the copy at its end, though its first page is older. Change: the wait is what the limit leaves after the age of the copy; a list confirms the copy as of its beginning.

--- a/src/libgateway/gateway.cpp
+++ b/src/libgateway/gateway.cpp
@@ -267,7 +267,7 @@
   m_core.m_endpoints.onRecord(Record.value(), Now);
 }
 
-void Gateway::applyEndpoints(const StoreRange &List) {
+void Gateway::applyEndpoints(const StoreRange &List, TimePoint ReadAt) {
   const TimePoint Now = clockNow();
   std::set<std::string> ListedIds;
   for (const StoreItem &Item : List.m_items) {
@@ -283,13 +283,14 @@
     applyEndpoint({m_core.m_dialect.endpointPrefix() + Id, std::nullopt,
                    List.m_revision});
   m_core.m_endpointsKnown = true;
-  onCopyConfirmed(Now);
+  onCopyConfirmed(ReadAt);
   m_core.dispatchWaiting(Now);
 }
 
 /// Lists all keys that the gateway uses. Returns the revision to watch from.
 asio::awaitable<Result<std::uint64_t>> Gateway::listStore() {
   const std::string Key = m_core.m_dialect.configurationKey();
+  const TimePoint ReadAt = clockNow();
   Result<StoreRange> List = co_await m_store.range(Key);
   onStoreResult(List.has_value(), "configuration");
   if (!List)
@@ -306,7 +307,7 @@
   if (!List)
     co_return List.error();
   m_endpointsListedAt = List.value().m_revision;
-  applyEndpoints(List.value());
+  applyEndpoints(List.value(), ReadAt);
   List = co_await m_store.range(GatewayPrefix);
   onStoreResult(List.has_value(), "gateways");
   if (!List)
@@ -371,10 +372,11 @@
 /// if the store's state must be read again.
 asio::awaitable<bool> Gateway::watchOnce(Duration &Backoff) {
   const std::uint64_t From = m_storeFollower.revision();
-  Milliseconds Wait = watchWait(pauseBetweenWatches(), changeLimit());
+  const TimePoint SentAt = clockNow();
+  Milliseconds Wait =
+      watchWait(SentAt - m_core.m_copyConfirmedAt, changeLimit());
   if (m_peers.audience().isCoordinator())
     Wait = std::min(Wait, CoordinatorWatchTimeout);
-  const TimePoint SentAt = clockNow();
   Result<StoreChanges> Changes = co_await m_store.watch("", From, Wait);
   onStoreResult(Changes.has_value(), "watch");
   if (!Changes) {
--- a/src/libgateway/gateway.h
+++ b/src/libgateway/gateway.h
@@ -84,7 +84,9 @@
 
   Result<void> openStatusListener(const std::string &Address, bool Metrics);
   void applyConfiguration(const StoreItem &Item);
-  void applyEndpoints(const StoreRange &List);
+  /// Applies a complete list of the endpoints. The copy of the store is as of
+  /// ReadAt then.
+  void applyEndpoints(const StoreRange &List, TimePoint ReadAt);
   void applyEndpoint(const StoreChange &Change);
   void applyGateways(std::uint64_t Revision);
   asio::awaitable<bool> awaitRelayEnd();
--- a/src/libgateway/watchpause.h
+++ b/src/libgateway/watchpause.h
@@ -49,11 +49,11 @@
   return std::max<Duration>(MinWatchPause, std::min(Wanted, Max));
 }
 
-/// Returns how long a watch call waits for a change. A change that occurs when
-/// the Pause before the call begins is in effect within ChangeLimit although
-/// the response is lost.
-inline Milliseconds watchWait(Duration Pause, Milliseconds ChangeLimit) {
-  const Duration Rest = ChangeLimit - Pause - WatchResponseMargin -
+/// Returns how long a watch call waits for a change if the copy of the store
+/// was last confirmed CopyAge ago. Although the response is lost, the next call
+/// confirms the copy before it is older than ChangeLimit.
+inline Milliseconds watchWait(Duration CopyAge, Milliseconds ChangeLimit) {
+  const Duration Rest = ChangeLimit - CopyAge - WatchResponseMargin -
                         MinStoreBackoff - FollowingCallTime;
   return std::clamp(std::chrono::duration_cast<Milliseconds>(Rest),
                     MinWatchWait, MaxWatchWait);
