libgateway: a relay that is older than the copy of the store confirms nothing

Callers would see: changes in effect up to 1.2 s later than they may be, at VMs behind a coordinator that was suspended, resumes with the response to a watch that the store sent before, relays it, and ends. Cause: each relay without a gap extended the time for which a gateway relies on relays, and counted as confirmation of its copy, also one up to a revision that the gateway had passed with a watch of its own. Change: a relay up to an older revision than the copy's neither extends that time nor confirms the copy. Test: StoreRelay.RelayOlderThanTheCopyIsNotFollowed, red before (the old relay was followed), green now; libgateway_test 103 green.

--- a/src/libgateway/gateway.cpp
+++ b/src/libgateway/gateway.cpp
@@ -440,7 +440,8 @@
     m_relayTimer.cancel();
     return;
   }
-  applyChanges(*Changes, Relay.m_to);
+  if (!m_storeFollower.isNewerThan(Relay))
+    applyChanges(*Changes, Relay.m_to);
 }
 
 void Gateway::onMessage(const SchedulingMessage &Message) {
--- a/src/libgateway/storerelay.cpp
+++ b/src/libgateway/storerelay.cpp
@@ -80,7 +80,8 @@
     m_missedChanges = true;
     return std::nullopt;
   }
-  m_relayValidUntil = Now + RelayTimeout;
+  if (!isNewerThan(Relay))
+    m_relayValidUntil = Now + RelayTimeout;
   return takeNew(Relay.m_changes, Relay.m_to);
 }
 
--- a/src/libgateway/storerelay.h
+++ b/src/libgateway/storerelay.h
@@ -42,6 +42,11 @@
   void onRead(std::uint64_t Revision);
   /// Returns the new ones of the changes that the gateway's own watch returned.
   std::vector<StoreChange> onWatched(const StoreChanges &Changes);
+  /// Whether the copy is newer than what a relay confirms, as after a pause of
+  /// its sender.
+  bool isNewerThan(const StoreRelay &Relay) const {
+    return m_revision > Relay.m_to;
+  }
   /// Returns the new changes of a relay; nothing if changes before them are
   /// missing.
   std::optional<std::vector<StoreChange>> onRelay(const StoreRelay &Relay,
--- a/src/libgateway/storerelay_test.cpp
+++ b/src/libgateway/storerelay_test.cpp
@@ -99,6 +99,22 @@
             (std::vector<std::uint64_t>{12, 13, 14}));
 }
 
+// Guards against a change that is in effect too late because a coordinator that
+// was suspended relays what the store had told it before.
+TEST(StoreRelay, RelayOlderThanTheCopyIsNotFollowed) {
+  StoreFollower F;
+  F.onRead(10);
+  const TimePoint Resumed = Start + RelayTimeout + Milliseconds(300);
+  EXPECT_TRUE(F.onRelay(makeRelays("vm-0", 10, changes(10, 11))[0], Start));
+  F.onWatched(changes(11, 14));
+  EXPECT_TRUE(
+      revisions(F.onRelay(makeRelays("vm-0", 11, changes(11, 12))[0], Resumed))
+          .empty());
+  EXPECT_FALSE(F.followsRelay(Resumed));
+  EXPECT_TRUE(F.onRelay(makeRelays("vm-0", 12, changes(12, 15))[0], Resumed));
+  EXPECT_TRUE(F.followsRelay(Resumed));
+}
+
 // Guards against datagrams that the network does not carry, and against half of
 // a transaction: many changes are split, but not those of one revision.
 TEST(StoreRelay, ManyChangesAreSplitAtRevisions) {
