soak: links that lose packets, orders executed late or without an answer

Its engines checked memory, not adapter slots. Change: proxies play packet loss as TCP shows it, bytes 0.2 s late or more and connections that open 1 s late or more, and targets whose queue is full, so that connecting takes forever. An adapter loaded without a free slot breaks a promise, as a model without memory does.

--- a/testsuite/soak/proxy.cpp
+++ b/testsuite/soak/proxy.cpp
@@ -25,6 +25,13 @@
 constexpr std::chrono::milliseconds HoldPoll{10};
 constexpr std::chrono::milliseconds LinkDelay{120};
 constexpr std::size_t BufferBytes = 16384;
+/// TCP sends a lost packet again after this time, a lost one that opens a
+/// connection after ConnectRetry; doubled with each further loss.
+constexpr std::chrono::milliseconds PacketRetry{200};
+constexpr std::chrono::milliseconds ConnectRetry{1000};
+constexpr unsigned OneLostPacketIn = 5;
+/// Connections that the system accepts before Proxy::accept() takes them.
+constexpr int Backlog = 256;
 
 asio::awaitable<void> pause(asio::io_context &Io,
                             std::chrono::milliseconds Time) {
@@ -49,6 +56,9 @@
 
 void Proxy::setState(LinkState State) {
   m_state = State;
+  // The system drops packets that open a connection while its queue is full.
+  std::error_code Ignored;
+  m_acceptor.listen(State == LinkState::Unreachable ? 0 : Backlog, Ignored);
   for (const LinkPtr &L : m_links)
     L->m_old = true;
 }
@@ -71,6 +81,8 @@
   switch (m_state) {
   case LinkState::Up:
   case LinkState::Delayed:
+  case LinkState::Lossy:
+  case LinkState::Unreachable:
     return false;
   case LinkState::OneWay:
     return Back;
@@ -90,6 +102,8 @@
         L->m_near, asio::redirect_error(asio::use_awaitable, Ec));
     if (Ec)
       co_return;
+    while (m_state == LinkState::Unreachable)
+      co_await pause(m_io, HoldPoll);
     asio::co_spawn(
         m_io, [this, L] { return connect(L); }, asio::detached);
   }
@@ -97,6 +111,7 @@
 
 asio::awaitable<void> Proxy::connect(LinkPtr L) {
   m_links.insert(L);
+  co_await pauseForLostPackets(ConnectRetry);
   std::error_code Ec;
   co_await L->m_far.async_connect(
       gateway::parseAddress(m_target).value(),
@@ -112,6 +127,14 @@
   m_links.erase(L);
 }
 
+asio::awaitable<void>
+Proxy::pauseForLostPackets(std::chrono::milliseconds First) {
+  for (auto Time = First;
+       m_state == LinkState::Lossy && m_random() % OneLostPacketIn == 0;
+       Time *= 2)
+    co_await pause(m_io, Time);
+}
+
 asio::awaitable<void> Proxy::pump(LinkPtr L, bool Back) {
   asio::ip::tcp::socket &From = Back ? L->m_far : L->m_near;
   asio::ip::tcp::socket &To = Back ? L->m_near : L->m_far;
@@ -124,6 +147,7 @@
       co_await pause(m_io, HoldPoll);
     if (m_state == LinkState::Delayed)
       co_await pause(m_io, LinkDelay);
+    co_await pauseForLostPackets(PacketRetry);
     if (Ec == asio::error::eof) {
       // The other direction may still carry the rest of an answer.
       To.shutdown(asio::ip::tcp::socket::shutdown_send, Ec);
--- a/testsuite/soak/proxy.h
+++ b/testsuite/soak/proxy.h
@@ -5,7 +5,9 @@
 #include <asio/awaitable.hpp>
 #include <asio/io_context.hpp>
 #include <asio/ip/tcp.hpp>
+#include <chrono>
 #include <memory>
+#include <random>
 #include <set>
 #include <string>
 
@@ -13,10 +15,14 @@
 
 enum class LinkState {
   Up,
-  Delayed,  ///< Bytes wait for 120 ms.
-  OneWay,   ///< Bytes to the target pass, bytes back wait.
-  Silent,   ///< Bytes wait in both directions, on new connections too.
-  OldSilent ///< As Silent, for connections that were open when it began.
+  Delayed,   ///< Bytes wait for 120 ms.
+  OneWay,    ///< Bytes to the target pass, bytes back wait.
+  Silent,    ///< Bytes wait in both directions, on new connections too.
+  OldSilent, ///< As Silent, for connections that were open when it began.
+  /// Packets get lost: some bytes wait until they are sent again, and some
+  /// connections open late.
+  Lossy,
+  Unreachable ///< New connections are not accepted; connecting takes forever.
 };
 
 class Proxy {
@@ -41,12 +47,15 @@
   asio::awaitable<void> connect(LinkPtr L);
   asio::awaitable<void> pump(LinkPtr L, bool Back);
   bool holds(const Link &L, bool Back) const;
+  /// Waits as long as a packet that may get lost, more than once, is late.
+  asio::awaitable<void> pauseForLostPackets(std::chrono::milliseconds First);
   static void end(const LinkPtr &L, bool Reset);
 
   asio::io_context &m_io;
   asio::ip::tcp::acceptor m_acceptor;
   std::string m_target;
   LinkState m_state = LinkState::Up;
+  std::minstd_rand m_random{1}; ///< Draws the packets that get lost.
   std::set<LinkPtr> m_links;
 };
 
--- a/testsuite/soak/soak.cpp
+++ b/testsuite/soak/soak.cpp
@@ -171,7 +171,7 @@
 }
 
 void Soak::drawEngineFault(EngineStandin &E, Milliseconds Time) {
-  const unsigned Kind = draw(6);
+  const unsigned Kind = draw(8);
   if (Kind == 0) {
     note(E.id() + " crashes");
     start(applyFor([&E] { E.crash(); },
@@ -197,7 +197,9 @@
   (Kind == 2   ? F.m_rejectProbability
    : Kind == 3 ? F.m_dropResponseProbability
    : Kind == 4 ? F.m_truncateProbability
-               : F.m_stallProbability) = 0.3;
+   : Kind == 5 ? F.m_stallProbability
+   : Kind == 6 ? F.m_lateOrderProbability
+               : F.m_dropOrderResponseProbability) = 0.3;
   note(fmt::format("{} fails in part (kind {}) for {} ms", E.id(), Kind,
                    Time.count()));
   start(applyFor([&E, F] { E.m_faults = F; },
@@ -209,8 +211,10 @@
       {LinkState::Delayed, "delayed"},
       {LinkState::OneWay, "cut one way"},
       {LinkState::Silent, "silent"},
-      {LinkState::OldSilent, "silent on open connections"}};
-  const unsigned Kind = draw(5);
+      {LinkState::OldSilent, "silent on open connections"},
+      {LinkState::Lossy, "losing packets"},
+      {LinkState::Unreachable, "closed to new connections"}};
+  const unsigned Kind = draw(std::size(Kinds) + 1);
   if (Kind == std::size(Kinds)) {
     note("the link at " + P.address() + " is reset");
     P.reset();
@@ -375,8 +379,8 @@
   start(play());
   m_io.run();
   for (const auto &E : m_engines)
-    if (E->memoryViolations() > 0)
-      m_check.violation(E->id() + " was ordered to load without memory for it");
+    if (E->roomViolations() > 0)
+      m_check.violation(E->id() + " was ordered to load without room for it");
   m_check.finish();
   static const std::pair<Verdict, const char *> Names[] = {
       {Verdict::Success, "served"},   {Verdict::NotRun, "not run"},
