platform: a response of the store may take long to arrive, not long to begin

Cause, as the code reads: a page of a list had to be complete within 0.9 s. When hundreds of VMs read thousands of entries at once, the store's link gives each of them less than that, every call is given up shortly before its end, and its bytes are sent again.

--- a/src/libgateway/connections.cpp
+++ b/src/libgateway/connections.cpp
@@ -255,19 +255,27 @@
 
 asio::awaitable<Result<HttpClientResponse>>
 callHttp(asio::io_context &Io, ConnectionPool &Pool, std::string Key,
-         std::string Address, std::string Request, Milliseconds Timeout) {
-  const TimePoint End = std::chrono::steady_clock::now() + Timeout;
+         std::string Address, std::string Request, CallTimeouts Timeouts) {
+  const TimePoint Begin = std::chrono::steady_clock::now();
+  const Milliseconds Silence = Timeouts.m_silence;
   Result<ConnectionPtr> Opened =
-      co_await Pool.acquire(Key, Address, Timeout, Timeout);
+      co_await Pool.acquire(Key, Address, Silence, Silence);
   if (!Opened)
     co_return Opened.error();
   ConnectionPtr C = Opened.value();
+  const TimePoint End = Begin + Timeouts.m_total;
+  TimePoint SilentSince = Begin;
   Watchdog Guard(Io);
-  Guard.arm(C, End);
+  Guard.arm(C, std::min(End, Begin + Silence),
+            [&SilentSince, Silence, End](TimePoint) {
+              return std::min(End, SilentSince + Silence);
+            });
   Result<void> Step = co_await C->send(std::move(Request));
   while (Step && !C->m_reader.complete() &&
-         C->m_reader.bodySize() <= MaxResponseBodyBytes)
+         C->m_reader.bodySize() <= MaxResponseBodyBytes) {
     Step = co_await C->readSome();
+    SilentSince = std::chrono::steady_clock::now();
+  }
   Guard.disarm();
   if (!Step || !C->m_reader.complete()) {
     C->close();
--- a/src/libgateway/connections.h
+++ b/src/libgateway/connections.h
@@ -107,11 +107,22 @@
   std::string m_body;
 };
 
-/// Sends one request and reads the complete response within Timeout. Fails with
-/// Unavailable (not sent) or Timeout (sent, but no complete response arrived).
+/// Time limits of a call.
+struct CallTimeouts {
+  /// Both limits are Total.
+  CallTimeouts(Milliseconds Total) : m_silence(Total), m_total(Total) {}
+  CallTimeouts(Milliseconds Silence, Milliseconds Total)
+      : m_silence(Silence), m_total(Total) {}
+
+  Milliseconds m_silence; ///< Until the next part of the response arrives.
+  Milliseconds m_total;   ///< Until the response is complete.
+};
+
+/// Sends one request and reads the complete response. Fails with Unavailable
+/// (not sent) or Timeout (sent, but no complete response arrived in time).
 asio::awaitable<Result<HttpClientResponse>>
 callHttp(asio::io_context &Io, ConnectionPool &Pool, std::string Key,
-         std::string Address, std::string Request, Milliseconds Timeout);
+         std::string Address, std::string Request, CallTimeouts Timeouts);
 
 /// Ends a task's wait on a socket at a given time by closing the connection.
 class Watchdog {
