--- a/src/libgateway/core.h
+++ b/src/libgateway/core.h
@@ -22,6 +22,10 @@
 
 namespace primroseworks::gateway {
 
+/// Reads the clock. Only coroutines and handlers do; functions that decide take
+/// the time as an argument.
+inline TimePoint clockNow() { return std::chrono::steady_clock::now(); }
+
 /// Receives the outcome for a request in the wait queue.
 class Waiter {
 public:
--- a/src/libgateway/exchange.cpp
+++ b/src/libgateway/exchange.cpp
@@ -14,8 +14,6 @@
 
 namespace {
 
-TimePoint clockNow() { return std::chrono::steady_clock::now(); }
-
 constexpr unsigned StatusMisdirected = 421;
 
 bool isSuccess(unsigned Status) { return Status >= 200 && Status < 300; }
--- /dev/null
+++ b/src/libgateway/gatewaystatus.cpp
@@ -0,0 +1,109 @@
+// The status endpoints of a gateway: readiness and metrics.
+#include "libgateway/gateway.h"
+#include "libgateway/log.h"
+
+#include <asio/co_spawn.hpp>
+#include <asio/detached.hpp>
+#include <asio/redirect_error.hpp>
+#include <asio/use_awaitable.hpp>
+#include <asio/write.hpp>
+#include <sys/resource.h>
+
+namespace primroseworks::gateway {
+
+Result<void> Gateway::openStatusListener(const std::string &Address,
+                                         bool Metrics) {
+  Result<asio::ip::tcp::endpoint> ListenAddress = parseAddress(Address);
+  if (!ListenAddress)
+    return ListenAddress.error();
+  auto Acceptor = std::make_shared<asio::ip::tcp::acceptor>(m_io);
+  std::error_code Ec;
+  Acceptor->open(ListenAddress.value().protocol(), Ec);
+  if (!Ec)
+    Acceptor->set_option(asio::ip::tcp::acceptor::reuse_address(true), Ec);
+  if (!Ec)
+    Acceptor->bind(ListenAddress.value(), Ec);
+  if (!Ec)
+    Acceptor->listen(asio::socket_base::max_listen_connections, Ec);
+  if (Ec)
+    return makeError(ErrorKind::Unavailable,
+                     "cannot listen at " + Address + ": " + Ec.message() +
+                         "; stop the process that uses this port or change the "
+                         "settings under listen");
+  asio::co_spawn(m_io, acceptStatusConnections(Acceptor, Metrics),
+                 asio::detached);
+  return boost::outcome_v2::success();
+}
+
+asio::awaitable<void> Gateway::acceptStatusConnections(
+    std::shared_ptr<asio::ip::tcp::acceptor> Acceptor, bool Metrics) {
+  for (;;) {
+    std::error_code Ec;
+    auto Socket =
+        std::make_shared<asio::ip::tcp::socket>(co_await Acceptor->async_accept(
+            asio::redirect_error(asio::use_awaitable, Ec)));
+    if (Ec) {
+      co_await sleep(Milliseconds(20));
+      continue;
+    }
+    prepareSocket(*Socket, CallerUnresponsiveTimeout);
+    asio::co_spawn(m_io, serveStatusConnection(Socket, Metrics),
+                   asio::detached);
+  }
+}
+
+std::string Gateway::statusBody(bool Metrics, const HttpHead &Head,
+                                unsigned &Status) {
+  if (Metrics) {
+    Status = 200;
+    return m_core.m_metrics->text();
+  }
+  if (Head.path() != m_core.m_dialect.readyPath()) {
+    Status = 404;
+    return "no such page\n";
+  }
+  Status = isReady() ? 200 : 503;
+  return isReady() ? "ready\n" : "not ready\n";
+}
+
+asio::awaitable<void>
+Gateway::serveStatusConnection(std::shared_ptr<asio::ip::tcp::socket> Socket,
+                               bool Metrics) {
+  constexpr std::size_t HeadLimit = 8192;
+  HttpReader Reader(HttpRole::Request, HeadLimit);
+  std::string Input;
+  for (;;) {
+    while (!Reader.complete()) {
+      char Buffer[1024];
+      std::error_code Ec;
+      const std::size_t N = co_await Socket->async_read_some(
+          asio::buffer(Buffer), asio::redirect_error(asio::use_awaitable, Ec));
+      if (Ec)
+        co_return;
+      Input.append(Buffer, N);
+      while (!Input.empty() && !Reader.complete()) {
+        const Result<std::size_t> Used = Reader.read(Input);
+        if (!Used)
+          co_return;
+        Input.erase(0, Used.value());
+        if (Used.value() == 0)
+          break;
+      }
+    }
+    unsigned Status = 200;
+    const std::string Body = statusBody(Metrics, Reader.head(), Status);
+    const bool KeepAlive = Reader.head().m_keepAlive;
+    const std::string Out =
+        statusLine(Status) + "Content-Type: text/plain\r\nContent-Length: " +
+        std::to_string(Body.size()) + "\r\n" +
+        (KeepAlive ? "" : "Connection: close\r\n") + "\r\n" + Body;
+    std::error_code Ec;
+    co_await asio::async_write(*Socket, asio::buffer(Out),
+                               asio::redirect_error(asio::use_awaitable, Ec));
+    if (Ec || !KeepAlive)
+      co_return;
+    Reader.reset();
+  }
+}
+
+} // namespace primroseworks::gateway
--- a/src/libgateway/placementleader.cpp
+++ b/src/libgateway/placementleader.cpp
@@ -13,8 +13,6 @@
 
 namespace {
 
-TimePoint clockNow() { return std::chrono::steady_clock::now(); }
-
 bool isCached(const Endpoint &E, const std::string &Model) {
   const std::vector<std::string> &Names = E.m_record.m_cachedModels;
   return std::find(Names.begin(), Names.end(), Model) != Names.end();
