libgateway: the leader forgets engines that are gone

Callers would see: nothing for weeks; a leader that leads for long keeps a ledger, a poll time and a back-off for each engine that it ever ordered, and each start of an engine mostly has a new id. Change: what is known of engines that are not registered any more, and have no order in progress, is discarded with each step. An engine that returns gets no order before its report, as with a new leader. Test: LeaderOrders.EnginesThatAreGoneAreForgotten, red before (1 ledger after the removal), green now; LeaderOrders 9 green.

--- a/src/libgateway/placementleader.cpp
+++ b/src/libgateway/placementleader.cpp
@@ -33,6 +33,19 @@
     E.m_controlledHere = false;
 }
 
+void PlacementLeader::forgetGoneEngines() {
+  const auto Forget = [this](auto &ById) {
+    for (auto It = ById.begin(); It != ById.end();) {
+      const bool Gone = !m_core.m_endpoints.find(It->first) &&
+                        !m_pendingOrders.count(It->first);
+      It = Gone ? ById.erase(It) : std::next(It);
+    }
+  };
+  Forget(m_ledgers);
+  Forget(m_nextPoll);
+  Forget(m_backoff);
+}
+
 EngineLedger *PlacementLeader::ledger(const std::string &Id) {
   const auto It = m_ledgers.find(Id);
   const Endpoint *E = m_core.m_endpoints.find(Id);
@@ -176,6 +189,7 @@
     discardLedgers();
     return;
   }
+  forgetGoneEngines();
   pollUnsettled(Now);
   for (const auto &[Name, Target] : m_core.m_configuration->m_services) {
     if (!Target.m_engine)
--- a/src/libgateway/placementleader.h
+++ b/src/libgateway/placementleader.h
@@ -49,6 +49,8 @@
   void step(TimePoint Now);
   /// Discards state that is only valid under the lost claim.
   void onClaimLost();
+  /// Number of engines with a ledger.
+  std::size_t ledgerCount() const { return m_ledgers.size(); }
 
 private:
   /// A move in progress at one engine.
@@ -66,6 +68,8 @@
                         std::optional<std::uint64_t> KnownOrders);
   PlacementEngine engineState(const Endpoint &E, TimePoint Now) const;
   void discardLedgers();
+  /// Discards what is known of engines that are gone.
+  void forgetGoneEngines();
   unsigned pendingReplacementLoads() const;
   /// The ledger of an engine's present incarnation; null if there is no such
   /// engine or no ledger yet.
