primrose-gateway: a stop signal during the start is a clean end

Its log has no line between the run before and the run after: SIGTERM came a few ms after the start, before the gateway handled it, so the system ended the process. Change: main() handles SIGTERM first; until the gateway does, nothing is in progress and the process exits with 0. Before main() nothing can be handled, so the soak takes an end by SIGTERM as clean if it had sent one and the run wrote nothing; any other end by a signal breaks a promise as before. The same window was not hit again on purpose.

--- a/src/primrose-gateway/main.cpp
+++ b/src/primrose-gateway/main.cpp
@@ -62,6 +62,8 @@
 
 int main(int Argc, char **Argv) {
   std::signal(SIGPIPE, SIG_IGN);
+  // Until the gateway handles it, nothing is in progress.
+  std::signal(SIGTERM, [](int) { _exit(0); });
   options::options_description Options("primrose-gateway --settings FILE");
   Options.add_options()("help", "print this help and exit")(
       "settings", options::value<std::string>(), "settings file (YAML)")(
--- a/testsuite/soak/gatewayprocess.cpp
+++ b/testsuite/soak/gatewayprocess.cpp
@@ -4,6 +4,7 @@
 #include <csignal>
 #include <cstdlib>
 #include <fcntl.h>
+#include <filesystem>
 #include <fmt/format.h>
 #include <fstream>
 #include <spawn.h>
@@ -23,7 +24,7 @@
 void GatewayProcess::start() {
   const std::string Base = m_setup.m_folder + '/' + m_setup.m_name;
   const std::string Settings = Base + ".yaml";
-  const std::string Log = Base + ".log";
+  const std::string Log = logPath();
   std::ofstream(Settings) << fmt::format(
       R"(vm: {{name: "{0}", failure-domain: "{1}", address: "{2}", descriptors: 1000}}
 failure-domains: {{"d1": "r1", "d2": "r1", "d3": "r2"}}
@@ -50,6 +51,9 @@
   m_stopping = false;
   m_paused = false;
   m_killed = false;
+  std::error_code NoLogYet;
+  const std::uintmax_t LogSize = std::filesystem::file_size(Log, NoLogYet);
+  m_logSizeAtStart = NoLogYet ? 0 : LogSize;
   if (posix_spawn(&m_pid, Arguments[0], &Actions, nullptr, Arguments,
                   environ) != 0)
     m_pid = -1;
@@ -77,6 +81,11 @@
     return ProcessEnd::Killed;
   if (WIFEXITED(Status) && WEXITSTATUS(Status) == 0 && m_stopping)
     return ProcessEnd::Clean;
+  // The signal came before main() could handle it.
+  const bool Began = std::filesystem::file_size(logPath()) > m_logSizeAtStart;
+  if (WIFSIGNALED(Status) && WTERMSIG(Status) == SIGTERM && m_stopping &&
+      !Began)
+    return ProcessEnd::Clean;
   m_endText = WIFSIGNALED(Status)
                   ? fmt::format("signal {}", WTERMSIG(Status))
                   : fmt::format("exit code {}", WEXITSTATUS(Status));
--- a/testsuite/soak/gatewayprocess.h
+++ b/testsuite/soak/gatewayprocess.h
@@ -47,9 +47,15 @@
   bool m_paused = false;   ///< SIGSTOP was sent last.
 
 private:
+  std::string logPath() const {
+    return m_setup.m_folder + '/' + m_setup.m_name + ".log";
+  }
+
   GatewaySetup m_setup;
   pid_t m_pid = -1;
   bool m_killed = false; ///< SIGKILL was sent to this run.
+  /// Size of the log when this run was started.
+  std::uintmax_t m_logSizeAtStart = 0;
   std::string m_endText;
 };
 
