--- a/src/primrosectl/commands.cpp
+++ b/src/primrosectl/commands.cpp
@@ -1,6 +1,7 @@
 // The commands of primrosectl.
 #include "primrosectl/commands.h"
 
+#include "primrosectl/requestlog.h"
 #include "primroseworks/config.h"
 
 #include <algorithm>
@@ -368,7 +369,13 @@
 }
 
 Exit Runner::explain() {
-  return show("/explain/" + argument(), &Runner::printExplanation);
+  if (m_call.m_logs.empty())
+    return show("/explain/" + argument(), &Runner::printExplanation);
+  const Result<RequestLife> Life = readRequestLife(m_call.m_logs, argument());
+  if (!Life)
+    return fail(Life.error());
+  m_out << describe(Life.value());
+  return Exit::Ok;
 }
 
 Exit Runner::drain() {
@@ -409,6 +416,8 @@
   endpoints              engines with load, owner and resident artifacts
   models                 models with the endpoints that hold them
   explain REQUEST-ID     routing decisions of a request with candidates and scores
+  explain --logs FILE... REQUEST-ID
+                         the life of a request, from the saved logs of several gateways
   suspects clear HASH    serve a request again that ended endpoints
   drain                  stop this daemon gracefully
 Exit codes: 0 ok, 1 differs, 2 usage, 3 invalid, 4 conflict, 5 unreachable, 6 refused, 7 not in force
--- a/src/primrosectl/commands.h
+++ b/src/primrosectl/commands.h
@@ -29,6 +29,7 @@
   bool m_json = false;
   bool m_origin = false;
   std::optional<std::uint64_t> m_expected; ///< Revision to replace.
+  std::vector<std::string> m_logs;         ///< Files of `explain --logs`.
 };
 
 /// Runs one command; results to Out, errors to Err.
--- a/src/primrosectl/main.cpp
+++ b/src/primrosectl/main.cpp
@@ -32,7 +32,9 @@
       "output", po::value(&Output)->default_value("text"), "text or json")(
       "origin", "with config show: file and line of each value")(
       "expect", po::value<std::uint64_t>(),
-      "with config apply: the revision to replace (default: the accepted one)");
+      "with config apply: the revision to replace (default: the accepted one)")(
+      "logs", po::value(&Call.m_logs)->multitoken(),
+      "with explain: saved logs of gateways");
   po::options_description Hidden;
   Hidden.add_options()("word", po::value(&Call.m_words));
   po::positional_options_description Words;
@@ -67,6 +69,11 @@
                  "see --help\n";
     return static_cast<int>(Exit::Usage);
   }
+  // "explain --logs FILE... REQUEST-ID": the id follows the last file.
+  if (Call.m_words.size() == 1 && Call.m_logs.size() > 1) {
+    Call.m_words.push_back(Call.m_logs.back());
+    Call.m_logs.pop_back();
+  }
   // The token comes from the environment: arguments show in process lists.
   Call.m_client.m_token = environment("PRIMROSE_OPERATOR_TOKEN", "");
   Call.m_json = Output == "json";
