--- a/src/libgateway/gateway.cpp
+++ b/src/libgateway/gateway.cpp
@@ -66,17 +66,20 @@
       m_placementLeader(m_core, m_leaderClaim, m_core.m_settings.m_vm,
                         [this](const std::string &Id) {
                           m_peers.onHoldingChanged(Id, clockNow());
-                          scheduleAnnouncement();
+                          m_announcement.request();
                         }),
-      m_signals(Io, SIGTERM, SIGINT, SIGHUP), m_placementTimer(Io),
-      m_announcementTimer(Io) {
+      m_signals(Io, SIGTERM, SIGINT, SIGHUP),
+      m_placement(Io, AdapterRequestBatchDelay, [this] { place(clockNow()); }),
+      m_announcement(Io, AnnounceDelay, [this] {
+        m_peers.announceHoldings(fencingToken(), clockNow());
+      }) {
   m_core.m_schedulerClient = &m_schedulerClient;
   m_peers.setOnMessage(
       [this](const SchedulingMessage &Message) { onMessage(Message); });
-  m_core.m_onAdapterWanted = [this] { schedulePlacement(); };
+  m_core.m_onAdapterWanted = [this] { m_placement.request(); };
   m_peers.setOnPeerAdapterWanted([this] {
     if (isLeader())
-      schedulePlacement();
+      m_placement.request();
   });
 }
 
@@ -262,28 +265,14 @@
   m_claimInProgress = false;
 }
 
-void Gateway::schedulePlacement() {
-  // Adapter requests in quick succession share one report and one plan.
-  m_placementTimer.expires_after(AdapterRequestBatchDelay);
-  m_placementTimer.async_wait([this](std::error_code Ec) {
-    if (Ec)
-      return;
-    const TimePoint Now = clockNow();
-    if (!isLeader()) {
-      m_peers.sendToLeader(Now);
-      return;
-    }
-    m_peers.recordLocalDemand(fencingToken(), Now);
-    m_placementLeader.step(Now);
-  });
-}
-
-void Gateway::scheduleAnnouncement() {
-  m_announcementTimer.expires_after(AnnounceDelay);
-  m_announcementTimer.async_wait([this](std::error_code Ec) {
-    if (!Ec)
-      m_peers.announceHoldings(fencingToken(), clockNow());
-  });
+/// Reports this VM's demand to the leader, or plans as the leader.
+void Gateway::place(TimePoint Now) {
+  if (!isLeader()) {
+    m_peers.sendToLeader(Now);
+    return;
+  }
+  m_peers.recordLocalDemand(fencingToken(), Now);
+  m_placementLeader.step(Now);
 }
 
 Duration Gateway::ownReportInterval() const {
@@ -304,7 +293,7 @@
       m_peers.sendFleetLoads(Now);
     }
     if (isLeader())
-      m_placementLeader.step(Now);
+      m_placement.request();
   }
 }
 
--- a/src/libgateway/gateway.h
+++ b/src/libgateway/gateway.h
@@ -3,6 +3,7 @@
 #ifndef PRIMROSEWORKS_LIBGATEWAY_GATEWAY_H
 #define PRIMROSEWORKS_LIBGATEWAY_GATEWAY_H
 
+#include "libgateway/batchtimer.h"
 #include "libgateway/callers.h"
 #include "libgateway/core.h"
 #include "libgateway/peers.h"
@@ -109,8 +110,7 @@
   Milliseconds changeLimit() const;
   /// Pause after a watch that returned changes.
   Duration pauseBetweenWatches() const;
-  void schedulePlacement();
-  void scheduleAnnouncement();
+  void place(TimePoint Now);
   void validateSettings();
   std::string statusBody(bool Metrics, const HttpHead &Head, unsigned &Status);
   bool isReady() const;
@@ -135,8 +135,8 @@
   LeaderClaim m_leaderClaim;
   PlacementLeader m_placementLeader;
   asio::signal_set m_signals;
-  asio::steady_timer m_placementTimer;
-  asio::steady_timer m_announcementTimer;
+  BatchTimer m_placement;
+  BatchTimer m_announcement;
   /// Revisions of the last lists of endpoints and of gateways: changes up to
   /// them are included.
   std::uint64_t m_endpointsListedAt = 0;
--- a/src/libgateway/gatewaystore.cpp
+++ b/src/libgateway/gatewaystore.cpp
@@ -227,7 +227,7 @@
     return;
   m_core.dispatchWaiting(Now);
   if (isLeader())
-    schedulePlacement();
+    m_placement.request();
 }
 
 /// Waits while a coordinator's relays keep this gateway's copy of the store up
