--- a/src/libgateway/engineledger_test.cpp
+++ b/src/libgateway/engineledger_test.cpp
@@ -327,7 +327,7 @@
   /// The report tells of a moment within MaxReportAge before the request.
   void readReport(int Choice) {
     const TimePoint AsOf =
-        m_now - Milliseconds(Choice * 97 % MaxReportAge.count());
+        m_now - Milliseconds(Choice * 97L % MaxReportAge.count());
     const EngineReport *Chosen = &m_snapshots.front().second;
     for (const auto &[At, Report] : m_snapshots)
       if (At <= AsOf)
--- a/src/primrosectl/requestlog.cpp
+++ b/src/primrosectl/requestlog.cpp
@@ -94,12 +94,15 @@
 }
 
 std::string fieldsOf(const LogEntry &E) {
-  static const std::set<std::string> Shown = {"t", "event", "vm", "id"};
+  static const std::set<std::string> ShownElsewhere = {"t", "event", "vm",
+                                                       "id"};
   std::string Out;
-  for (const auto &[Name, Value] : E.m_fields.items())
-    if (!Shown.count(Name) && Value != "")
-      Out += ' ' + Name + '=' +
-             (Value.is_string() ? Value.get<std::string>() : Value.dump());
+  for (const auto &[Name, Value] : E.m_fields.items()) {
+    const std::string Text =
+        Value.is_string() ? Value.get<std::string>() : Value.dump();
+    if (!ShownElsewhere.count(Name) && !Text.empty())
+      Out += ' ' + Name + '=' + Text;
+  }
   return Out;
 }
 
--- a/src/primrosectl/requestlog_test.cpp
+++ b/src/primrosectl/requestlog_test.cpp
@@ -14,7 +14,7 @@
 protected:
   /// Writes a log file and returns its path.
   std::string write(const std::string &Name, const std::string &Text) {
-    const std::string Path = testing::TempDir() + "requestlog_" + Name;
+    std::string Path = testing::TempDir() + "requestlog_" + Name;
     std::ofstream(Path) << Text;
     return Path;
   }
