--- a/src/libjournal/journal_test.cpp
+++ b/src/libjournal/journal_test.cpp
@@ -57,41 +57,11 @@
   }
 };
 
-/// Repeats a call whose outcome is unknown, or that was refused for the moment,
-/// as these errors demand: a process that was suspended for longer than Wait
-/// sees them.
-template <class Call> auto repeatUntilAnswered(Call Attempt) {
-  constexpr int MaxTries = 20;
-  auto Answer = Attempt();
-  for (int Try = 1; Try < MaxTries && !Answer; ++Try) {
-    if (Answer.error().m_kind != ErrorKind::Timeout &&
-        Answer.error().m_kind != ErrorKind::Unavailable)
-      break;
-    std::this_thread::sleep_for(Milliseconds(50));
-    Answer = Attempt();
-  }
-  return Answer;
-}
-
 void expectGranted(Journal &J, const JournalClaim &Claim) {
-  auto Answer = repeatUntilAnswered([&] { return J.claim(Claim, Wait); });
+  auto Answer = J.claim(Claim, Wait);
   ASSERT_TRUE(Answer) << Answer.error().m_message;
   EXPECT_EQ(Answer.value().m_outcome, ClaimOutcome::Granted);
 }
-/// Claims a key and stores its result. A claim that was given up for a moment
-/// is made again by another request.
-bool storeResult(Journal &J, const std::string &Key) {
-  constexpr int MaxRequests = 5;
-  for (int I = 0; I < MaxRequests; ++I) {
-    const JournalClaim C = claimOf(Key, "r" + std::to_string(I));
-    if (repeatUntilAnswered([&] { return J.claim(C, Wait); }) &&
-        repeatUntilAnswered([&] {
-          return J.result(C, {200, "", "x"}, Wait);
-        }))
-      return true;
-  }
-  return false;
-}
 ClaimOutcome outcome(Journal &J, const JournalClaim &Claim) {
   return J.claim(Claim, Wait).value().m_outcome;
 }
@@ -338,9 +308,7 @@
   for (char &C : Body)
     C = static_cast<char>(Random());
   expectGranted(*J, claimOf("k", "r1"));
-  ASSERT_TRUE(repeatUntilAnswered([&] {
-    return J->result(claimOf("k", "r1"), {200, "x", Body}, Wait);
-  }));
+  ASSERT_TRUE(J->result(claimOf("k", "r1"), {200, "x", Body}, Wait));
   EXPECT_EQ(W.m_store->range("journal-body/").value().m_entries.size(), 3u);
   auto Next = W.open(2);
   EXPECT_EQ(Next->lookup("k", "hash", Wait).value().m_result->m_body, Body);
@@ -395,11 +363,12 @@
   std::atomic<unsigned> Done{0};
   for (int Client = 0; Client < 32; ++Client)
     Clients.emplace_back([&, Client] {
-      for (int I = 0; I < 8; ++I)
-        Done +=
-            storeResult(*J, std::to_string(Client) + "-" + std::to_string(I))
-                ? 1
-                : 0;
+      for (int I = 0; I < 8; ++I) {
+        const JournalClaim C =
+            claimOf(std::to_string(Client) + "-" + std::to_string(I), "r");
+        if (J->claim(C, Wait) && J->result(C, {200, "", "x"}, Wait))
+          ++Done;
+      }
     });
   for (std::thread &Client : Clients)
     Client.join();
