--- /dev/null
+++ b/src/libgateway/attempt.h
@@ -0,0 +1,89 @@
+// One attempt of a request at an endpoint: its limits, its outcome, and what
+// has arrived of its response.
+#ifndef PRIMROSEWORKS_LIBGATEWAY_ATTEMPT_H
+#define PRIMROSEWORKS_LIBGATEWAY_ATTEMPT_H
+
+#include "libgateway/connections.h"
+#include "libgateway/core.h"
+#include "libgateway/events.h"
+#include "libgateway/schedulerclient.h"
+
+#include <string>
+
+namespace primroseworks::gateway {
+
+/// Outcome of one attempt at an endpoint.
+enum class AttemptOutcome {
+  Delivered,    ///< The response was forwarded to the caller.
+  NotConnected, ///< No connection; nothing was sent.
+  NotRun,       ///< The endpoint stated that it did not run the request.
+  Failure,      ///< A complete response that reports a failure.
+  Broken,       ///< The response was truncated or invalid.
+  Silent,       ///< No response, or no further event, before the timeout.
+  CallerGone    ///< The caller closed its connection.
+};
+inline constexpr NameTable<AttemptOutcome, 7> AttemptOutcomeNames = {
+    {{AttemptOutcome::Delivered, "delivered"},
+     {AttemptOutcome::NotConnected, "not_connected"},
+     {AttemptOutcome::NotRun, "not_run"},
+     {AttemptOutcome::Failure, "failure"},
+     {AttemptOutcome::Broken, "broken"},
+     {AttemptOutcome::Silent, "silent"},
+     {AttemptOutcome::CallerGone, "caller_gone"}}};
+
+/// Timeout for opening a connection to an endpoint.
+inline constexpr Milliseconds EndpointConnectTimeout{400};
+/// A connection to an endpoint is closed if the TCP stack at its other end has
+/// not acknowledged data or keep-alive probes for this long.
+inline constexpr Milliseconds EndpointUnresponsiveTimeout{2000};
+/// Added to the deadline of an attempt: an engine may respond right at its
+/// deadline, and the response takes time to arrive.
+inline constexpr Milliseconds DeadlineGrace{60};
+/// A resumable stream without an event for this long is continued at another
+/// endpoint.
+inline constexpr Milliseconds StreamStallTimeout{1200};
+/// Shortest timeout for the first event of a stream that may be sent to another
+/// endpoint; twice the route's latency target if that is longer.
+inline constexpr Milliseconds MinFirstEventTimeout{2000};
+/// An attempt that timed out goes on while no other endpoint has capacity. This
+/// is the interval between checks for one.
+inline constexpr Milliseconds FailoverCheckInterval{150};
+/// Shortest timeout of an attempt of a repeatable request before the request is
+/// sent to another endpoint.
+inline constexpr Milliseconds MinAttemptTimeout{250};
+/// Largest event of a stream. An endpoint in trouble may send bytes without
+/// end.
+inline constexpr std::size_t MaxEventBytes = 1'048'576;
+/// Interim responses (1xx) that are skipped before a response.
+inline constexpr unsigned MaxInterimResponses = 8;
+/// A silent attempt is kept for this long after the request was sent to another
+/// endpoint, which usually refuses sooner if it does not take it.
+inline constexpr Milliseconds SilentAttemptLifetime{300};
+
+/// State of one attempt. It can be set aside and resumed while its connection
+/// is open.
+struct Attempt {
+  Choice m_choice;
+  PlacedBy m_placedBy = PlacedBy::Local;
+  CoordinatorTicket m_coordinatorTicket; ///< If a coordinator placed it.
+  ConnectionPtr m_connection;            ///< Null before it is sent.
+  TimePoint m_sentAt{};
+  /// The request was sent completely, so the attempt can be resumed.
+  bool m_sent = false;
+  std::string m_body;          ///< Of a response that is not a stream.
+  EventSplitter m_splitter;    ///< Of a response that is a stream.
+  bool m_prefillDone = false;  ///< Its first event arrived.
+  TimePoint m_firstEventsAt{}; ///< When its first events arrived.
+  unsigned m_eventBatches = 0; ///< Reads with events.
+  bool m_stalled = false;      ///< It exceeded the route's gap target.
+  unsigned m_status = 0;       ///< Of the response; 0 if none.
+  bool m_closedByPeer = false; ///< It failed without a timeout.
+  /// Another endpoint responded at the address of the chosen one.
+  bool m_endpointReplaced = false;
+  /// What it has shown so far, for its coordinator.
+  AttemptObservation m_observation;
+};
+
+} // namespace primroseworks::gateway
+
+#endif
--- a/src/libgateway/connections.cpp
+++ b/src/libgateway/connections.cpp
@@ -96,6 +96,11 @@
     std::error_code Ec;
     const std::size_t N = co_await m_socket.async_read_some(
         asio::buffer(Buffer), asio::redirect_error(asio::use_awaitable, Ec));
+    if (Ec == asio::error::operation_aborted && m_open)
+      co_return makeError(
+          ErrorKind::Timeout,
+          "no more of the response in time; wait again or use another "
+          "endpoint");
     if (Ec) {
       m_open = false;
       if (Ec == asio::error::eof && m_reader.finishAtEnd())
@@ -109,6 +114,11 @@
   }
 }
 
+void Connection::interrupt() {
+  std::error_code Ignored;
+  m_socket.cancel(Ignored);
+}
+
 void Connection::close() {
   m_open = false;
   std::error_code Ignored;
@@ -228,28 +238,50 @@
   m_idle.erase(It);
 }
 
-void Watchdog::arm(const ConnectionPtr &C, TimePoint At, Extension Extend) {
+void Watchdog::arm(TimePoint At, Action OnExpired, Extension Extend) {
   m_state->m_fired = false;
+  m_state->m_onExpired = std::move(OnExpired);
   const std::uint64_t Generation = ++m_state->m_generation;
   m_timer.expires_at(At);
-  m_timer.async_wait([this, C, Generation, State = m_state,
+  m_timer.async_wait([this, Generation, State = m_state,
                       Extend = std::move(Extend)](std::error_code Ec) {
-    // An unchanged generation means that this object still exists.
+    // A cancelled timer whose time has passed completes without an error. An
+    // unchanged generation means that this object still exists.
     if (Ec || State->m_generation != Generation)
       return;
     const TimePoint Now = std::chrono::steady_clock::now();
     const TimePoint Next = Extend ? Extend(Now) : Now;
-    if (Next > Now) {
-      arm(C, Next, Extend);
-      return;
-    }
-    State->m_fired = true;
-    C->close();
+    if (Next > Now)
+      arm(Next, std::move(State->m_onExpired), Extend);
+    else
+      expire(*State);
   });
 }
 
+void Watchdog::arm(const ConnectionPtr &C, TimePoint At, Extension Extend) {
+  arm(
+      At, [C] { C->close(); }, std::move(Extend));
+}
+
+void Watchdog::expire(State &S) {
+  S.m_fired = true;
+  const Action OnExpired = std::move(S.m_onExpired);
+  S.m_onExpired = nullptr;
+  OnExpired();
+}
+
+void Watchdog::expireNow() {
+  if (!m_state->m_onExpired)
+    return;
+  const std::shared_ptr<State> Expiring = m_state;
+  ++Expiring->m_generation;
+  m_timer.cancel();
+  expire(*Expiring);
+}
+
 void Watchdog::disarm() {
   ++m_state->m_generation;
+  m_state->m_onExpired = nullptr;
   m_timer.cancel();
 }
 
--- a/src/libgateway/connections.h
+++ b/src/libgateway/connections.h
@@ -41,8 +41,11 @@
   asio::awaitable<Result<void>> send(std::string Bytes);
   /// Reads until the response head is complete, the response is complete or a
   /// part of the body has arrived. Fails with Closed if the response is
-  /// truncated, with Protocol if the bytes are not a valid response.
+  /// truncated, with Protocol if the bytes are not a valid response, with
+  /// Timeout if it was interrupted.
   asio::awaitable<Result<void>> readSome();
+  /// Ends the wait of readSome(), which may be called again.
+  void interrupt();
   void close();
   /// Whether any byte of the current response has arrived.
   bool responseStarted() const { return m_reader.started(); }
@@ -124,9 +127,11 @@
 callHttp(asio::io_context &Io, ConnectionPool &Pool, std::string Key,
          std::string Address, std::string Request, CallTimeouts Timeouts);
 
-/// Ends a task's wait on a socket at a given time by closing the connection.
+/// Limits the time of a task's wait on a socket. After disarm() or a later
+/// arm() an earlier limit has no effect, even if its time has already passed.
 class Watchdog {
 public:
+  using Action = std::function<void()>;
   /// Called when the time has come; returning a later time extends the wait.
   using Extension = std::function<TimePoint(TimePoint Now)>;
 
@@ -134,9 +139,13 @@
   ~Watchdog() { disarm(); }
   Watchdog(const Watchdog &) = delete;
   Watchdog &operator=(const Watchdog &) = delete;
-  /// Closes C at the time At, unless it is disarmed or rearmed before, or
-  /// Extend returns a later time.
+  /// Calls OnExpired at the time At, unless it is disarmed or rearmed before,
+  /// or Extend returns a later time.
+  void arm(TimePoint At, Action OnExpired, Extension Extend = nullptr);
+  /// Closes C in the same way.
   void arm(const ConnectionPtr &C, TimePoint At, Extension Extend = nullptr);
+  /// Expires at once if it is armed.
+  void expireNow();
   void disarm();
   bool fired() const { return m_state->m_fired; }
 
@@ -145,7 +154,10 @@
     bool m_fired = false;
     /// Incremented when armed and when disarmed.
     std::uint64_t m_generation = 0;
+    Action m_onExpired; ///< Null unless armed.
   };
+  static void expire(State &S);
+
   asio::steady_timer m_timer;
   /// Shared with timer handlers that are already queued.
   std::shared_ptr<State> m_state = std::make_shared<State>();
--- a/src/libgateway/exchange.cpp
+++ b/src/libgateway/exchange.cpp
@@ -1,4 +1,4 @@
-// Handles one request: route lookup, endpoint selection, attempts, response.
+// Handles one request: route lookup, endpoint selection, retries, response.
 #include "libgateway/exchange.h"
 #include "libgateway/log.h"
 #include "libgateway/retryafter.h"
@@ -14,10 +14,6 @@
 
 namespace {
 
-constexpr unsigned StatusMisdirected = 421;
-
-bool isSuccess(unsigned Status) { return Status >= 200 && Status < 300; }
-
 /// Hash of the prompt parts that other requests may share, which are all but
 /// the last. 0 if there are none.
 std::uint64_t affinityHash(const RequestMetadata &Metadata) {
@@ -47,39 +43,41 @@
 Exchange::Exchange(Core &Shared, asio::ip::tcp::socket &Caller, HttpHead Head,
                    std::string Body, TimePoint Arrived)
     : m_core(Shared), m_callerSocket(Caller), m_head(std::move(Head)),
-      m_body(std::move(Body)), m_arrivedAt(Arrived), m_waitTimer(Shared.m_io) {}
+      m_body(std::move(Body)), m_arrivedAt(Arrived), m_waitTimer(Shared.m_io),
+      m_attemptTimer(Shared.m_io), m_silentAttemptTimer(Shared.m_io) {}
 
 void Exchange::onCallerGone() {
   m_callerGone = true;
   m_waitTimer.cancel();
-  if (m_connection)
-    m_connection->close();
+  if (m_attempt.m_connection)
+    m_attempt.m_connection->close();
+  if (m_silentAttempt)
+    m_silentAttempt->m_connection->close();
 }
 
 void Exchange::onDispatched(const Choice &Placement, TimePoint) {
   m_ticket = 0;
-  m_coordinatorTicket = {};
   place(Placement, PlacedBy::Local);
   m_core.notifyLoadChanged(Placement.m_endpoint);
 }
 
 void Exchange::onGranted(const Choice &Placement,
                          const CoordinatorTicket &Ticket) {
-  m_coordinatorTicket = Ticket;
+  m_attempt.m_coordinatorTicket = Ticket;
   m_scheduleDecided = true;
   place(Placement, PlacedBy::Coordinator);
 }
 
 void Exchange::onScheduleRejected(ChoiceObstacle Obstacle,
                                   Duration ExpectedWait) {
-  m_choice.m_obstacle = Obstacle;
+  m_attempt.m_choice.m_obstacle = Obstacle;
   m_expectedWait = ExpectedWait;
   m_scheduleDecided = true;
   m_waitTimer.cancel();
 }
 
 void Exchange::onScheduleWaiting(ChoiceObstacle Obstacle) {
-  m_choice.m_obstacle = Obstacle;
+  m_attempt.m_choice.m_obstacle = Obstacle;
 }
 
 void Exchange::onNoCoordinator() { m_waitTimer.cancel(); }
@@ -87,27 +85,26 @@
 /// Counts the request at its endpoint.
 void Exchange::place(const Choice &Placement, PlacedBy By) {
   m_placed = true;
-  m_placedBy = By;
-  m_choice = Placement;
+  m_attempt.m_choice = Placement;
+  m_attempt.m_placedBy = By;
   m_core.m_endpoints.onSent(Placement.m_endpoint, m_query.m_size, By);
-  m_prefillDone = false;
-  m_observation = {};
-  m_eventBatches = 0;
   m_core.m_demand.onStarted(m_query.m_model, m_query.m_adapter);
   m_waitTimer.cancel();
 }
 
-/// Ends the use of the endpoint that the request was placed at.
-void Exchange::releaseEndpoint(TimePoint Now) {
-  m_core.release(m_choice.m_endpoint, m_query, m_placedBy, m_prefillDone, Now);
-  if (m_placedBy == PlacedBy::Coordinator)
-    m_core.m_schedulerClient->onEnded(m_coordinatorTicket, m_observation);
+/// Ends an attempt's use of its endpoint.
+void Exchange::releaseEndpoint(const Attempt &A, TimePoint Now) {
+  m_core.release(A.m_choice.m_endpoint, m_query, A.m_placedBy, A.m_prefillDone,
+                 Now);
+  if (A.m_placedBy == PlacedBy::Coordinator)
+    m_core.m_schedulerClient->onEnded(A.m_coordinatorTicket, A.m_observation);
 }
 
 asio::awaitable<bool> Exchange::run() {
   m_keepAlive = m_head.m_keepAlive;
   const bool Keep = co_await serve();
   const TimePoint Now = clockNow();
+  endSilentAttempt(Now);
   if (m_callerGone && m_outcome.empty()) {
     m_outcome = "caller_gone";
     m_reason = "caller_closed_its_connection";
@@ -175,46 +172,43 @@
     co_return co_await sendLocalResponse(
         503, "crashes_endpoints",
         m_core.m_suspects.remaining(m_fingerprint, Start));
+  bool MaySend = true;
   for (;;) {
     if (clockNow() >= m_deadline)
       co_return co_await fail("time_limit");
-    if (!co_await acquireEndpoint()) {
-      if (m_callerGone)
-        co_return false;
-      co_return co_await rejectNotRun(
-          std::string("no_endpoint_") +
-          std::string(nameOf(ChoiceObstacleNames, m_choice.m_obstacle)));
-    }
+    const bool Acquired = MaySend && co_await acquireEndpoint();
     if (m_callerGone) {
-      releaseEndpoint(clockNow());
+      if (Acquired)
+        releaseEndpoint(m_attempt, clockNow());
       co_return false;
     }
-    const std::string Endpoint = m_choice.m_endpoint;
-    const AttemptOutcome Outcome = co_await attempt();
+    if (!Acquired && !m_silentAttempt)
+      co_return co_await rejectNotRun(
+          std::string("no_endpoint_") +
+          std::string(
+              nameOf(ChoiceObstacleNames, m_attempt.m_choice.m_obstacle)));
+    const AttemptOutcome Outcome =
+        Acquired ? co_await attempt() : co_await resumeSilentAttempt();
     const TimePoint Now = clockNow();
-    if (m_connection && Outcome != AttemptOutcome::Delivered)
-      m_connection->close();
-    m_connection = nullptr;
-    recordAttempt(Outcome, Now);
-    releaseEndpoint(Now);
-    if (Outcome == AttemptOutcome::Delivered)
-      m_failover.reset();
+    endAttempt(Outcome, Now);
     if (Outcome == AttemptOutcome::Delivered)
       co_return true;
     if (m_callerGone || Outcome == AttemptOutcome::CallerGone)
       co_return false;
-    m_query.m_excluded.push_back(Endpoint);
-    const bool NotConnected = Outcome == AttemptOutcome::NotConnected;
-    const bool Retry =
-        NotConnected ||
-        ((Outcome == AttemptOutcome::NotRun || m_route->mayRunAgain()) &&
-         takeRetry(Now));
-    if (Retry)
-      continue;
-    co_return co_await finishAfterAttempt(Outcome);
+    MaySend = mayTryAgain(Outcome, Now);
+    if (!MaySend && !m_silentAttempt)
+      co_return co_await finishAfterAttempt(Outcome);
   }
 }
 
+/// Whether the request may be sent to another endpoint after this outcome.
+bool Exchange::mayTryAgain(AttemptOutcome Outcome, TimePoint Now) {
+  if (Outcome == AttemptOutcome::NotConnected)
+    return true;
+  return (Outcome == AttemptOutcome::NotRun || m_route->mayRunAgain()) &&
+         takeRetry(Now);
+}
+
 /// Responds to a request whose last attempt failed and that is not retried.
 asio::awaitable<bool> Exchange::finishAfterAttempt(AttemptOutcome Outcome) {
   if (Outcome == AttemptOutcome::Failure && !m_committed)
@@ -238,32 +232,6 @@
   return false;
 }
 
-/// Whether another endpoint takes the request at once; one that a coordinator
-/// granted stays reserved for it. Takes nothing from the retry limit.
-bool Exchange::canFailOver(TimePoint Now) {
-  if (attemptsThatMayHaveRun() >= m_route->m_maxAttempts ||
-      !m_core.retries(m_query.m_service).allows(m_core.m_gatewayCount, Now))
-    return false;
-  ChoiceQuery Query = m_query;
-  Query.m_excluded.push_back(m_choice.m_endpoint);
-  Query.m_mayRevisit = false;
-  if (!m_failover)
-    m_failover = std::make_unique<FailoverProbe>(m_core);
-  return m_failover->poll(Query, Now);
-}
-
-/// Extends an attempt that timed out until another endpoint has capacity for
-/// the request or its deadline has passed: an endpoint that has not responded
-/// for long may still respond.
-Watchdog::Extension Exchange::extendUnlessFailover() {
-  return [this](TimePoint Now) {
-    const TimePoint Latest = m_deadline + DeadlineGrace;
-    if (Now >= Latest || canFailOver(Now))
-      return Now;
-    return std::min<TimePoint>(Latest, Now + FailoverCheckInterval);
-  };
-}
-
 /// Longest time to wait for an endpoint so that the caller can still use the
 /// response.
 Duration Exchange::maxEndpointWait(TimePoint Now) const {
@@ -318,6 +286,9 @@
 
 asio::awaitable<bool> Exchange::acquireEndpoint() {
   m_placed = false;
+  Attempt Next;
+  Next.m_choice = m_attempt.m_choice; // The request's log line names the last.
+  m_attempt = std::move(Next);
   m_expectedWait = {};
   const std::unique_ptr<FailoverProbe> Failover = std::move(m_failover);
   if (const auto Reserved = Failover ? Failover->take() : std::nullopt) {
@@ -327,21 +298,23 @@
   // Endpoints at which the request failed are tried again only if nothing was
   // sent to any of them: an endpoint that got the request may have run it.
   m_query.m_mayRevisit = m_sentAttempts == 0;
-  if (co_await acquireFromCoordinator())
+  // A silent endpoint is left only for one that is available at once.
+  const bool AtOnce = m_silentAttempt.has_value();
+  if (!AtOnce && co_await acquireFromCoordinator())
     co_return m_placed;
   const TimePoint Now = clockNow();
-  if (m_core.m_rejectingWaiting && !m_committed) {
+  if (AtOnce || (m_core.m_rejectingWaiting && !m_committed)) {
     const Choice C = m_core.choose(m_query, Now);
     if (C.m_obstacle == ChoiceObstacle::None)
       onDispatched(C, Now);
-    m_choice = C;
+    m_attempt.m_choice = C;
     co_return m_placed;
   }
   const WaitLimits Limits = waitLimits(Now);
   const Admission A = m_core.admit(m_query, Limits, *this, Now);
   if (m_placed)
     co_return true;
-  m_choice.m_obstacle = A.m_obstacle;
+  m_attempt.m_choice.m_obstacle = A.m_obstacle;
   m_expectedWait = A.m_expectedWait;
   if (A.m_rejected)
     co_return false;
@@ -351,314 +324,13 @@
   co_await waitForEndpoint(Now + Limits.m_maxWait);
   if (m_placed)
     co_return true;
-  m_choice.m_obstacle = m_core.cancel(A.m_ticket);
-  m_expectedWait = m_core.expectedWait(m_query, m_choice.m_obstacle,
+  m_attempt.m_choice.m_obstacle = m_core.cancel(A.m_ticket);
+  m_expectedWait = m_core.expectedWait(m_query, m_attempt.m_choice.m_obstacle,
                                        Limits.m_onTimeUntil, clockNow());
   m_ticket = 0;
   co_return false;
 }
 
-/// The request for the endpoint: hop-by-hop headers are removed and the
-/// gateway's own headers are set for this attempt.
-std::string Exchange::serializeRequest(TimePoint Now) const {
-  std::string Request =
-      m_head.m_method + ' ' + m_head.m_target + " HTTP/1.1\r\n";
-  for (const HttpHeader &H : m_head.m_headers) {
-    if (m_head.isHopByHop(H) || H.m_lowerName == "content-length" ||
-        !m_core.m_dialect.forwardsHeader(H.m_lowerName))
-      continue;
-    Request += H.m_name + ": " + H.m_value + "\r\n";
-  }
-  AttemptMetadata Metadata;
-  Metadata.m_endpoint = m_choice.m_endpoint;
-  Metadata.m_deadline =
-      std::max(Milliseconds(1),
-               std::chrono::duration_cast<Milliseconds>(m_deadline - Now));
-  Metadata.m_rank = m_route->m_rank;
-  Metadata.m_lastEventId = m_lastEventId;
-  Metadata.m_engine = m_engineService;
-  Request += m_core.m_dialect.attemptHeaders(Metadata);
-  if (!m_body.empty() || m_head.m_length || m_head.m_chunked)
-    Request += "Content-Length: " + std::to_string(m_body.size()) + "\r\n";
-  Request += "\r\n";
-  Request += m_body;
-  return Request;
-}
-
-/// Time at which an attempt without a response times out.
-TimePoint Exchange::attemptDeadline(TimePoint Now) const {
-  const TimePoint Latest = m_deadline + DeadlineGrace;
-  if (!m_route->mayRunAgain() ||
-      attemptsThatMayHaveRun() >= m_route->m_maxAttempts)
-    return Latest;
-  if (m_route->m_kind == RouteKind::Stream)
-    return std::min<TimePoint>(
-        Latest, Now + std::max<Duration>(MinFirstEventTimeout,
-                                         2 * m_route->m_latencyTarget));
-  const Duration Half = (m_deadline - Now) / 2;
-  return std::min<TimePoint>(Latest,
-                             Now + std::max<Duration>(MinAttemptTimeout, Half));
-}
-
-/// Reads the head of the response to this request. Skips interim responses and
-/// late responses to earlier requests on the connection.
-asio::awaitable<Result<void>> Exchange::readHead(ConnectionPtr C) {
-  unsigned Interim = 0;
-  for (;;) {
-    while (!C->m_reader.headComplete()) {
-      BOOST_OUTCOME_CO_TRYV(co_await C->readSome());
-    }
-    const HttpHead &Head = C->m_reader.head();
-    const bool IsInterim = Head.m_status >= 100 && Head.m_status < 200;
-    const ResponseMetadata Metadata = m_core.m_dialect.responseMetadata(Head);
-    if (!IsInterim && (Metadata.m_requestId.empty() ||
-                       Metadata.m_requestId == m_requestMetadata.m_id))
-      co_return boost::outcome_v2::success();
-    if (IsInterim && ++Interim > MaxInterimResponses)
-      co_return makeError(ErrorKind::Protocol,
-                          "too many interim responses; use another endpoint");
-    if (!IsInterim)
-      m_core.m_metrics->count("foreign_answer");
-    std::size_t Skipped = 0;
-    while (!C->m_reader.complete()) {
-      BOOST_OUTCOME_CO_TRYV(co_await C->readSome());
-      Skipped += C->m_reader.takeBody().size();
-      if (Skipped > MaxResponseBodyBytes)
-        co_return makeError(
-            ErrorKind::Protocol,
-            "a response to another request has no end; use another endpoint");
-    }
-    C->m_reader.reset();
-  }
-}
-
-asio::awaitable<AttemptOutcome> Exchange::attempt() {
-  m_closedByPeer = false;
-  m_endpointReplaced = false;
-  m_attemptStatus = 0;
-  const Endpoint *E = m_core.m_endpoints.find(m_choice.m_endpoint);
-  if (!E)
-    co_return AttemptOutcome::NotConnected;
-  const std::string Address = E->m_record.m_address;
-  const std::string Key = m_choice.m_endpoint + '@' + Address;
-  TimePoint Now = clockNow();
-  const Milliseconds TimeLeft =
-      std::chrono::duration_cast<Milliseconds>(m_deadline - Now);
-  Result<ConnectionPtr> Opened = co_await m_core.m_pool.acquire(
-      Key, Address, std::min(EndpointConnectTimeout, TimeLeft),
-      EndpointUnresponsiveTimeout);
-  if (!Opened) {
-    co_return m_callerGone ? AttemptOutcome::CallerGone
-                           : AttemptOutcome::NotConnected;
-  }
-  ConnectionPtr C = Opened.value();
-  if (m_callerGone) {
-    // Nothing was sent, so the connection could be reused; it is closed all the
-    // same.
-    C->close();
-    co_return AttemptOutcome::CallerGone;
-  }
-  // The endpoint may have started to drain, or may have been removed, while
-  // the connection was opened.
-  E = m_core.m_endpoints.find(m_choice.m_endpoint);
-  Now = clockNow();
-  if (!E || !E->acceptsRequests(Now) || Now >= m_deadline) {
-    C->close();
-    co_return AttemptOutcome::NotConnected;
-  }
-  if (E->m_keptUntil)
-    m_core.m_metrics->count("sent_to_lapsed_endpoint");
-  m_connection = C;
-  m_sentAt = Now;
-  m_stalled = false;
-  ++m_sentAttempts;
-  Watchdog AttemptTimer(m_core.m_io);
-  AttemptTimer.arm(C, attemptDeadline(Now), extendUnlessFailover());
-  const Result<void> Sent = co_await C->send(serializeRequest(Now));
-  AttemptOutcome Outcome = AttemptOutcome::Broken;
-  // An endpoint may respond and close the connection before it has read a long
-  // body, so a failed send does not mean that there is no response.
-  if (Sent || !m_callerGone) {
-    const Result<void> HeadRead = co_await readHead(C);
-    if (HeadRead) {
-      m_core.m_endpoints.onFirstByte(m_choice.m_endpoint, clockNow() - Now);
-      m_observation.m_firstByteMs = toMillis(clockNow() - Now);
-      const bool IsStream = m_route->m_kind == RouteKind::Stream &&
-                            isSuccess(C->m_reader.head().m_status);
-      Outcome = IsStream ? co_await relayEvents(C, AttemptTimer)
-                         : co_await readResponse(C);
-    }
-  }
-  const bool TimedOut = AttemptTimer.fired();
-  AttemptTimer.disarm();
-  if (m_callerGone)
-    co_return AttemptOutcome::CallerGone;
-  if (Outcome == AttemptOutcome::Broken) {
-    m_mayHaveRun = true;
-    m_closedByPeer = !TimedOut;
-    co_return TimedOut ? AttemptOutcome::Silent : AttemptOutcome::Broken;
-  }
-  if (Outcome == AttemptOutcome::Failure)
-    m_mayHaveRun = true;
-  co_return Outcome;
-}
-
-/// Reads a complete response that is not a stream. Forwards it if it reports
-/// success; otherwise the request may still be sent to another endpoint.
-asio::awaitable<AttemptOutcome> Exchange::readResponse(ConnectionPtr C) {
-  std::string Body;
-  for (;;) {
-    Body += C->m_reader.takeBody();
-    if (C->m_reader.complete())
-      break;
-    if (Body.size() > MaxResponseBodyBytes)
-      co_return AttemptOutcome::Broken;
-    const Result<void> Step = co_await C->readSome();
-    if (!Step) {
-      co_return AttemptOutcome::Broken;
-    }
-  }
-  const HttpHead Head = C->m_reader.head();
-  m_attemptStatus = Head.m_status;
-  const ResponseMetadata Metadata = m_core.m_dialect.responseMetadata(Head);
-  m_core.m_pool.release(C, clockNow());
-  m_connection = nullptr;
-  if (Metadata.m_notExecuted || Head.m_status == StatusMisdirected) {
-    if (Head.m_status == StatusMisdirected && !Metadata.m_endpoint.empty() &&
-        Metadata.m_endpoint != m_choice.m_endpoint)
-      m_endpointReplaced = true;
-    co_return AttemptOutcome::NotRun;
-  }
-  if (isSuccess(Head.m_status)) {
-    if (!Metadata.m_signed || Metadata.m_encoded)
-      co_return AttemptOutcome::Broken;
-    (void)co_await forwardResponse(Head, std::move(Body));
-    co_return AttemptOutcome::Delivered;
-  }
-  m_failureResponse = HttpClientResponse{Head, std::move(Body)};
-  co_return AttemptOutcome::Failure;
-}
-
-/// Records the first event of an attempt, which shows that the engine has
-/// finished the prefill of its prompt.
-void Exchange::recordFirstEvent() {
-  const TimePoint Now = clockNow();
-  m_prefillDone = true;
-  m_core.m_endpoints.onPrefillDone(m_choice.m_endpoint, m_query.m_size,
-                                   m_placedBy);
-  m_core.m_endpoints.onFirstEvent(m_query.m_service, Now - m_sentAt,
-                                  m_choice.m_pendingPrefillTokens +
-                                      m_query.m_size.m_promptTokens);
-  if (m_placedBy == PlacedBy::Coordinator) {
-    m_observation.m_firstEventMs = toMillis(Now - m_sentAt);
-    m_core.m_schedulerClient->onPrefillDone(m_coordinatorTicket, m_observation);
-    m_observation = {};
-  } else {
-    m_core.notifyLoadChanged(m_choice.m_endpoint);
-  }
-  m_core.dispatchWaiting(Now);
-}
-
-/// Records the time since the previous events. A gap above the route's target
-/// makes the response late and shows that the engine is slow, however soon its
-/// first events come.
-void Exchange::recordEventGap(TimePoint Now) {
-  const Duration Gap = Now - m_lastEventsAt;
-  m_longestEventGap = std::max(m_longestEventGap, Gap);
-  m_core.m_endpoints.onInterval(m_choice.m_endpoint, Gap);
-  if (m_stalled || m_route->m_gapTarget == Milliseconds::zero() ||
-      Gap <= m_route->m_gapTarget)
-    return;
-  m_stalled = true;
-  m_observation.m_stalled = true;
-  m_core.m_endpoints.onStallSample(m_choice.m_endpoint, true);
-}
-
-/// Forwards complete events to the caller as they arrive. The response head is
-/// sent with the first event, so that the request can fail over to another
-/// endpoint until then.
-asio::awaitable<AttemptOutcome> Exchange::relayEvents(ConnectionPtr C,
-                                                      Watchdog &AttemptTimer) {
-  const HttpHead Head = C->m_reader.head();
-  const ResponseMetadata Metadata = m_core.m_dialect.responseMetadata(Head);
-  if (!Metadata.m_signed || Metadata.m_encoded)
-    co_return AttemptOutcome::Broken;
-  EventSplitter Splitter;
-  const bool MayFailOver =
-      m_route->m_resumable && attemptsThatMayHaveRun() < m_route->m_maxAttempts;
-  for (;;) {
-    Splitter.add(C->m_reader.takeBody());
-    std::string NewEvents;
-    bool EventMissing = false;
-    while (std::optional<StreamEvent> Event = Splitter.next()) {
-      if (Event->m_id) {
-        if (m_lastEventId && *Event->m_id <= *m_lastEventId)
-          continue; // Already sent to the caller.
-        if (m_lastEventId && *Event->m_id != *m_lastEventId + 1) {
-          m_core.m_metrics->count("stream_gap_refused");
-          EventMissing = true;
-          break;
-        }
-        m_lastEventId = Event->m_id;
-      }
-      NewEvents += Event->m_bytes;
-    }
-    if (!NewEvents.empty()) {
-      m_failover.reset();
-      if (!m_prefillDone)
-        recordFirstEvent();
-      else
-        recordEventGap(clockNow());
-      m_lastEventsAt = clockNow();
-      if (m_eventBatches++ == 0)
-        m_firstEventsAt = m_lastEventsAt;
-    }
-    // Complete events are forwarded even if the stream is truncated after them:
-    // they count as sent, and another endpoint continues after the last one.
-    const bool Truncated = EventMissing || Splitter.pending() > MaxEventBytes ||
-                           (C->m_reader.complete() && Splitter.pending() > 0);
-    const bool Complete = C->m_reader.complete() && !Truncated;
-    std::string Out;
-    if ((!NewEvents.empty() || Complete) && !m_committed) {
-      m_committed = true;
-      m_firstByteAt = clockNow();
-      m_status = Head.m_status;
-      Out = serializeResponseHead(Head, true, 0);
-    }
-    if (!NewEvents.empty())
-      Out += fmt::format("{:x}\r\n", NewEvents.size()) + NewEvents + "\r\n";
-    if (Complete) {
-      Out += "0\r\n\r\n";
-      m_core.m_pool.release(C, clockNow());
-      m_connection = nullptr;
-    }
-    if (!Out.empty() && !co_await write(std::move(Out)))
-      co_return AttemptOutcome::CallerGone;
-    if (Complete) {
-      if (!m_stalled) {
-        m_observation.m_stalled = false;
-        m_core.m_endpoints.onStallSample(m_choice.m_endpoint, false);
-      }
-      m_outcome = "ran";
-      co_return AttemptOutcome::Delivered;
-    }
-    if (Truncated)
-      co_return AttemptOutcome::Broken;
-    if (!NewEvents.empty()) {
-      const TimePoint Latest = m_deadline + DeadlineGrace;
-      AttemptTimer.arm(
-          C,
-          MayFailOver
-              ? std::min<TimePoint>(Latest, clockNow() + StreamStallTimeout)
-              : Latest,
-          extendUnlessFailover());
-    }
-    const Result<void> Step = co_await C->readSome();
-    if (!Step)
-      co_return AttemptOutcome::Broken;
-  }
-}
-
 std::string Exchange::serializeResponseHead(const HttpHead &Head, bool Chunked,
                                             std::size_t Length) const {
   std::string Out = statusLine(Head.m_status);
@@ -677,7 +349,7 @@
   m_firstByteAt = clockNow();
   m_status = Head.m_status;
   m_committed = true;
-  m_outcome = isSuccess(Head.m_status) ? "ran" : "endpoint_failure";
+  m_outcome = Head.isSuccess() ? "ran" : "endpoint_failure";
   std::string Out = serializeResponseHead(Head, false, Body.size());
   Out += Body;
   const bool Written = co_await write(std::move(Out));
@@ -765,66 +437,6 @@
                                        Duration::zero());
 }
 
-/// Updates the health of the endpoint and the crash suspects with the outcome
-/// of an attempt, and logs an attempt that failed.
-void Exchange::recordAttempt(AttemptOutcome Outcome, TimePoint Now) {
-  EndpointTable &Table = m_core.m_endpoints;
-  const std::string &Id = m_choice.m_endpoint;
-  AttemptHealth Health = AttemptHealth::Good;
-  switch (Outcome) {
-  case AttemptOutcome::Delivered:
-    m_core.m_suspects.onCompleted(m_fingerprint);
-    break;
-  case AttemptOutcome::CallerGone:
-    return;
-  case AttemptOutcome::NotRun:
-    ++m_refusedAttempts;
-    Health = AttemptHealth::Refused;
-    m_observation.m_endpointReplaced = m_endpointReplaced;
-    m_observation.m_artifactRejected = !m_endpointReplaced && m_engineService;
-    if (m_endpointReplaced)
-      Table.onReplaced(Id);
-    else if (m_engineService)
-      Table.onArtifactRejected(Id, m_query.m_model, m_query.m_adapter, Now);
-    break;
-  case AttemptOutcome::NotConnected:
-  case AttemptOutcome::Silent:
-    Health = AttemptHealth::Silent;
-    break;
-  case AttemptOutcome::Failure:
-  case AttemptOutcome::Broken:
-    Health = AttemptHealth::Failed;
-    break;
-  }
-  Table.onHealth(Id, Health, Now);
-  m_observation.m_health = Health;
-  if (m_eventBatches > 1)
-    m_observation.m_intervalMs =
-        toMillis(m_lastEventsAt - m_firstEventsAt) / (m_eventBatches - 1);
-  if (Outcome == AttemptOutcome::Broken && m_closedByPeer && m_engineService)
-    if (const Endpoint *E = Table.find(Id))
-      m_core.m_suspects.strike(
-          m_fingerprint,
-          CrashSuspects::crashId(Id, E->m_record.m_incarnation + 1), Now);
-  if (Outcome == AttemptOutcome::Delivered)
-    return;
-  const Endpoint *E = Table.find(Id);
-  decisionlog::line(LogClass::Failure, "attempt")
-      .text("id", m_requestMetadata.m_id)
-      .text("endpoint", Id)
-      .text("end", nameOf(AttemptOutcomeNames, Outcome))
-      .number("status", m_attemptStatus)
-      .number("load", m_choice.m_load)
-      .real("score_ms", m_choice.m_scoreMs)
-      .real("failures", E ? E->m_failureShare : -1)
-      .number("sends", m_sentAttempts)
-      .real("list_age_ms", toMillis(Now - m_core.m_copyConfirmedAt))
-      .text("model", m_query.m_model)
-      .text("adapter", m_query.m_adapter);
-  m_core.m_metrics->count("attempt_" +
-                          std::string(nameOf(AttemptOutcomeNames, Outcome)));
-}
-
 void Exchange::logCompletion(TimePoint Now) const {
   const bool Good = m_outcome == "ran";
   const Duration FirstByte = m_firstByteAt == TimePoint{}
@@ -847,11 +459,12 @@
       .text("outcome", Late ? "late" : m_outcome)
       .text("reason", Reason)
       .number("status", m_status)
-      .text("endpoint", m_choice.m_endpoint)
-      .text("coordinator", m_coordinatorTicket.m_coordinator)
-      .text("obstacle", nameOf(ChoiceObstacleNames, m_choice.m_obstacle))
-      .number("load", m_choice.m_load)
-      .number("candidates", m_choice.m_candidates)
+      .text("endpoint", m_attempt.m_choice.m_endpoint)
+      .text("coordinator", m_attempt.m_coordinatorTicket.m_coordinator)
+      .text("obstacle",
+            nameOf(ChoiceObstacleNames, m_attempt.m_choice.m_obstacle))
+      .number("load", m_attempt.m_choice.m_load)
+      .number("candidates", m_attempt.m_choice.m_candidates)
       .number("sends", m_sentAttempts)
       .real("waited_ms", toMillis(m_waited))
       .real("first_ms", toMillis(FirstByte))
--- a/src/libgateway/exchange.h
+++ b/src/libgateway/exchange.h
@@ -2,8 +2,8 @@
 #ifndef PRIMROSEWORKS_LIBGATEWAY_EXCHANGE_H
 #define PRIMROSEWORKS_LIBGATEWAY_EXCHANGE_H
 
+#include "libgateway/attempt.h"
 #include "libgateway/core.h"
-#include "libgateway/events.h"
 #include "libgateway/failoverprobe.h"
 
 #include <asio/awaitable.hpp>
@@ -12,53 +12,9 @@
 
 namespace primroseworks::gateway {
 
-/// Outcome of one attempt at an endpoint.
-enum class AttemptOutcome {
-  Delivered,    ///< The response was forwarded to the caller.
-  NotConnected, ///< No connection; nothing was sent.
-  NotRun,       ///< The endpoint stated that it did not run the request.
-  Failure,      ///< A complete response that reports a failure.
-  Broken,       ///< The response was truncated or invalid.
-  Silent,       ///< No response, or no further event, before the timeout.
-  CallerGone    ///< The caller closed its connection.
-};
-inline constexpr NameTable<AttemptOutcome, 7> AttemptOutcomeNames = {
-    {{AttemptOutcome::Delivered, "delivered"},
-     {AttemptOutcome::NotConnected, "not_connected"},
-     {AttemptOutcome::NotRun, "not_run"},
-     {AttemptOutcome::Failure, "failure"},
-     {AttemptOutcome::Broken, "broken"},
-     {AttemptOutcome::Silent, "silent"},
-     {AttemptOutcome::CallerGone, "caller_gone"}}};
-
-/// Timeout for opening a connection to an endpoint.
-inline constexpr Milliseconds EndpointConnectTimeout{400};
-/// A connection to an endpoint is closed if the TCP stack at its other end has
-/// not acknowledged data or keep-alive probes for this long.
-inline constexpr Milliseconds EndpointUnresponsiveTimeout{2000};
 /// Share of its remaining time that a request may wait for an endpoint. The
 /// rest is left for a retry by the caller.
 inline constexpr double EndpointWaitShare = 0.5;
-/// Added to the deadline of an attempt: an engine may respond right at its
-/// deadline, and the response takes time to arrive.
-inline constexpr Milliseconds DeadlineGrace{60};
-/// A resumable stream without an event for this long is continued at another
-/// endpoint.
-inline constexpr Milliseconds StreamStallTimeout{1200};
-/// Shortest timeout for the first event of a stream that may be sent to another
-/// endpoint; twice the route's latency target if that is longer.
-inline constexpr Milliseconds MinFirstEventTimeout{2000};
-/// An attempt that timed out goes on while no other endpoint has capacity. This
-/// is the interval between checks for one.
-inline constexpr Milliseconds FailoverCheckInterval{150};
-/// Shortest timeout of an attempt of a repeatable request before the request is
-/// sent to another endpoint.
-inline constexpr Milliseconds MinAttemptTimeout{250};
-/// Largest event of a stream. An endpoint in trouble may send bytes without
-/// end.
-inline constexpr std::size_t MaxEventBytes = 1'048'576;
-/// Interim responses (1xx) that are skipped before a response.
-inline constexpr unsigned MaxInterimResponses = 8;
 /// The first configuration usually arrives within this time after the start.
 inline constexpr Milliseconds TypicalConfigurationDelay{1000};
 
@@ -89,16 +45,23 @@
   asio::awaitable<bool> acquireFromCoordinator();
   asio::awaitable<void> waitForEndpoint(TimePoint Until);
   void place(const Choice &Placement, PlacedBy By);
-  void releaseEndpoint(TimePoint Now);
+  void releaseEndpoint(const Attempt &A, TimePoint Now);
   WaitLimits waitLimits(TimePoint Now) const;
   unsigned attemptsThatMayHaveRun() const {
     return m_sentAttempts - m_refusedAttempts;
   }
   asio::awaitable<AttemptOutcome> attempt();
+  asio::awaitable<AttemptOutcome> resumeSilentAttempt();
+  asio::awaitable<AttemptOutcome> readAnswer();
+  void limitAttempt(TimePoint Until);
+  void onAttemptTimeout(TimePoint Now);
+  bool canResume(AttemptOutcome Outcome) const;
+  void endAttempt(AttemptOutcome Outcome, TimePoint Now);
+  void endSilentAttempt(TimePoint Now);
+  asio::awaitable<Result<void>> readMore(ConnectionPtr C);
   asio::awaitable<Result<void>> readHead(ConnectionPtr C);
   asio::awaitable<AttemptOutcome> readResponse(ConnectionPtr C);
-  asio::awaitable<AttemptOutcome> relayEvents(ConnectionPtr C,
-                                              Watchdog &AttemptTimer);
+  asio::awaitable<AttemptOutcome> relayEvents(ConnectionPtr C);
   asio::awaitable<bool> write(std::string Bytes);
   asio::awaitable<bool> sendLocalResponse(unsigned Status, std::string Reason,
                                           Duration RetryAfter);
@@ -113,6 +76,7 @@
   std::string serializeResponseHead(const HttpHead &Head, bool Chunked,
                                     std::size_t Length) const;
   bool takeRetry(TimePoint Now);
+  bool mayTryAgain(AttemptOutcome Outcome, TimePoint Now);
   bool canFailOver(TimePoint Now);
   Watchdog::Extension extendUnlessFailover();
   TimePoint attemptDeadline(TimePoint Now) const;
@@ -137,17 +101,19 @@
   /// Limits the wait for an endpoint; cancelled to end it.
   asio::steady_timer m_waitTimer;
   TicketId m_ticket = 0; ///< Set while the request is in the wait queue.
-  bool m_placed = false;
-  PlacedBy m_placedBy = PlacedBy::Local;
-  CoordinatorTicket m_coordinatorTicket; ///< If a coordinator placed it.
+  bool m_placed = false; ///< m_attempt has an endpoint.
   /// The coordinator's answer is the final one: it is not asked again and this
   /// VM does not choose itself.
   bool m_scheduleDecided = false;
-  Choice m_choice;
+  Attempt m_attempt; ///< The current one; its obstacle if there is none.
+  Watchdog m_attemptTimer;
+  /// An attempt that is silent while the request is tried at another endpoint.
+  /// It goes on if that endpoint does not take the request.
+  std::optional<Attempt> m_silentAttempt;
+  Watchdog m_silentAttemptTimer;
   std::unique_ptr<FailoverProbe> m_failover; ///< While the endpoint is silent.
   /// Expected wait for an endpoint when the request was last rejected.
   Duration m_expectedWait{};
-  ConnectionPtr m_connection; ///< Used by the current attempt.
   bool m_callerGone = false;
   bool m_keepAlive = false; ///< The caller's connection can be reused.
 
@@ -161,19 +127,8 @@
   std::optional<std::uint64_t> m_lastEventId;
   HttpClientResponse
       m_failureResponse;        ///< Latest complete failure; status 0 if none.
-  unsigned m_attemptStatus = 0; ///< Of the last attempt's response; 0 if none.
-  /// Another endpoint responded at the address of the chosen one.
-  bool m_endpointReplaced = false;
-  TimePoint m_sentAt{};        ///< When the current attempt was sent.
-  TimePoint m_lastEventsAt{};  ///< When the latest events arrived.
-  TimePoint m_firstEventsAt{}; ///< When the attempt's first events arrived.
-  unsigned m_eventBatches = 0; ///< Reads with events in this attempt.
-  /// What the current attempt has shown so far, for its coordinator.
-  AttemptObservation m_observation;
+  TimePoint m_lastEventsAt{};   ///< When the latest events arrived.
   Duration m_longestEventGap{}; ///< Over all attempts.
-  bool m_stalled = false;      ///< The attempt exceeded the route's gap target.
-  bool m_prefillDone = false;  ///< The current attempt has got its first event.
-  bool m_closedByPeer = false; ///< The last attempt failed without a timeout.
 
   std::string m_outcome; ///< Written to the log and the metrics.
   std::string m_reason;
--- /dev/null
+++ b/src/libgateway/exchangeattempt.cpp
@@ -0,0 +1,489 @@
+// The attempts of a request at endpoints: sending it, reading the response,
+// relaying events, and leaving an endpoint that is silent.
+#include "libgateway/exchange.h"
+#include "libgateway/log.h"
+
+#include <algorithm>
+#include <asio/redirect_error.hpp>
+#include <asio/use_awaitable.hpp>
+#include <asio/write.hpp>
+#include <fmt/format.h>
+
+namespace primroseworks::gateway {
+
+namespace {
+
+constexpr unsigned StatusMisdirected = 421;
+
+} // namespace
+
+/// Whether another endpoint takes the request at once; one that a coordinator
+/// granted stays reserved for it. Takes nothing from the retry limit.
+bool Exchange::canFailOver(TimePoint Now) {
+  if (attemptsThatMayHaveRun() >= m_route->m_maxAttempts ||
+      !m_core.retries(m_query.m_service).allows(m_core.m_gatewayCount, Now))
+    return false;
+  ChoiceQuery Query = m_query;
+  Query.m_excluded.push_back(m_attempt.m_choice.m_endpoint);
+  Query.m_mayRevisit = false;
+  if (!m_failover)
+    m_failover = std::make_unique<FailoverProbe>(m_core);
+  return m_failover->poll(Query, Now);
+}
+
+/// Extends an attempt that timed out until another endpoint has capacity for
+/// the request or its deadline has passed: an endpoint that has not responded
+/// for long may still respond.
+Watchdog::Extension Exchange::extendUnlessFailover() {
+  return [this](TimePoint Now) {
+    const TimePoint Latest = m_deadline + DeadlineGrace;
+    if (Now >= Latest || canFailOver(Now))
+      return Now;
+    return std::min<TimePoint>(Latest, Now + FailoverCheckInterval);
+  };
+}
+
+/// The request for the endpoint: hop-by-hop headers are removed and the
+/// gateway's own headers are set for this attempt.
+std::string Exchange::serializeRequest(TimePoint Now) const {
+  std::string Request =
+      m_head.m_method + ' ' + m_head.m_target + " HTTP/1.1\r\n";
+  for (const HttpHeader &H : m_head.m_headers) {
+    if (m_head.isHopByHop(H) || H.m_lowerName == "content-length" ||
+        !m_core.m_dialect.forwardsHeader(H.m_lowerName))
+      continue;
+    Request += H.m_name + ": " + H.m_value + "\r\n";
+  }
+  AttemptMetadata Metadata;
+  Metadata.m_endpoint = m_attempt.m_choice.m_endpoint;
+  Metadata.m_deadline =
+      std::max(Milliseconds(1),
+               std::chrono::duration_cast<Milliseconds>(m_deadline - Now));
+  Metadata.m_rank = m_route->m_rank;
+  Metadata.m_lastEventId = m_lastEventId;
+  Metadata.m_engine = m_engineService;
+  Request += m_core.m_dialect.attemptHeaders(Metadata);
+  if (!m_body.empty() || m_head.m_length || m_head.m_chunked)
+    Request += "Content-Length: " + std::to_string(m_body.size()) + "\r\n";
+  Request += "\r\n";
+  Request += m_body;
+  return Request;
+}
+
+/// Time at which an attempt without a response times out.
+TimePoint Exchange::attemptDeadline(TimePoint Now) const {
+  const TimePoint Latest = m_deadline + DeadlineGrace;
+  if (!m_route->mayRunAgain() ||
+      attemptsThatMayHaveRun() >= m_route->m_maxAttempts)
+    return Latest;
+  if (m_route->m_kind == RouteKind::Stream)
+    return std::min<TimePoint>(
+        Latest, Now + std::max<Duration>(MinFirstEventTimeout,
+                                         2 * m_route->m_latencyTarget));
+  const Duration Half = (m_deadline - Now) / 2;
+  return std::min<TimePoint>(Latest,
+                             Now + std::max<Duration>(MinAttemptTimeout, Half));
+}
+
+/// Reads the head of the response to this request. Skips interim responses and
+/// late responses to earlier requests on the connection.
+asio::awaitable<Result<void>> Exchange::readHead(ConnectionPtr C) {
+  unsigned Interim = 0;
+  for (;;) {
+    while (!C->m_reader.headComplete()) {
+      BOOST_OUTCOME_CO_TRYV(co_await readMore(C));
+    }
+    const HttpHead &Head = C->m_reader.head();
+    const bool IsInterim = Head.m_status >= 100 && Head.m_status < 200;
+    const ResponseMetadata Metadata = m_core.m_dialect.responseMetadata(Head);
+    if (!IsInterim && (Metadata.m_requestId.empty() ||
+                       Metadata.m_requestId == m_requestMetadata.m_id))
+      co_return boost::outcome_v2::success();
+    if (IsInterim && ++Interim > MaxInterimResponses)
+      co_return makeError(ErrorKind::Protocol,
+                          "too many interim responses; use another endpoint");
+    if (!IsInterim)
+      m_core.m_metrics->count("foreign_answer");
+    std::size_t Skipped = 0;
+    while (!C->m_reader.complete()) {
+      BOOST_OUTCOME_CO_TRYV(co_await readMore(C));
+      Skipped += C->m_reader.takeBody().size();
+      if (Skipped > MaxResponseBodyBytes)
+        co_return makeError(
+            ErrorKind::Protocol,
+            "a response to another request has no end; use another endpoint");
+    }
+    C->m_reader.reset();
+  }
+}
+
+/// Reads more of the response unless the attempt has timed out.
+asio::awaitable<Result<void>> Exchange::readMore(ConnectionPtr C) {
+  if (m_attemptTimer.fired())
+    co_return makeError(ErrorKind::Timeout,
+                        "no response in time; use another endpoint");
+  co_return co_await C->readSome();
+}
+
+/// Limits the wait for the next part of the response.
+void Exchange::limitAttempt(TimePoint Until) {
+  m_attemptTimer.arm(
+      Until, [this] { onAttemptTimeout(clockNow()); }, extendUnlessFailover());
+}
+
+/// Ends the wait. The connection of an attempt that may be resumed stays open.
+void Exchange::onAttemptTimeout(TimePoint Now) {
+  if (m_attempt.m_sent && Now < m_deadline)
+    m_attempt.m_connection->interrupt();
+  else
+    m_attempt.m_connection->close();
+}
+
+asio::awaitable<AttemptOutcome> Exchange::attempt() {
+  const Endpoint *E = m_core.m_endpoints.find(m_attempt.m_choice.m_endpoint);
+  if (!E)
+    co_return AttemptOutcome::NotConnected;
+  const std::string Address = E->m_record.m_address;
+  const std::string Key = m_attempt.m_choice.m_endpoint + '@' + Address;
+  TimePoint Now = clockNow();
+  const Milliseconds TimeLeft =
+      std::chrono::duration_cast<Milliseconds>(m_deadline - Now);
+  Result<ConnectionPtr> Opened = co_await m_core.m_pool.acquire(
+      Key, Address, std::min(EndpointConnectTimeout, TimeLeft),
+      EndpointUnresponsiveTimeout);
+  if (!Opened) {
+    co_return m_callerGone ? AttemptOutcome::CallerGone
+                           : AttemptOutcome::NotConnected;
+  }
+  ConnectionPtr C = Opened.value();
+  if (m_callerGone) {
+    // Nothing was sent, so the connection could be reused; it is closed all the
+    // same.
+    C->close();
+    co_return AttemptOutcome::CallerGone;
+  }
+  // The endpoint may have started to drain, or may have been removed, while
+  // the connection was opened.
+  E = m_core.m_endpoints.find(m_attempt.m_choice.m_endpoint);
+  Now = clockNow();
+  if (!E || !E->acceptsRequests(Now) || Now >= m_deadline) {
+    C->close();
+    co_return AttemptOutcome::NotConnected;
+  }
+  if (E->m_keptUntil)
+    m_core.m_metrics->count("sent_to_lapsed_endpoint");
+  m_attempt.m_connection = C;
+  m_attempt.m_sentAt = Now;
+  ++m_sentAttempts;
+  limitAttempt(attemptDeadline(Now));
+  if (m_silentAttempt)
+    m_silentAttemptTimer.arm(Now + SilentAttemptLifetime,
+                             [this] { endSilentAttempt(clockNow()); });
+  const Result<void> Sent = co_await C->send(serializeRequest(Now));
+  m_attempt.m_sent = Sent.has_value();
+  if (!Sent && m_callerGone)
+    co_return AttemptOutcome::CallerGone;
+  // An endpoint may respond and close the connection before it has read a long
+  // body, so a failed send does not mean that there is no response.
+  co_return co_await readAnswer();
+}
+
+/// Reads the response of the current attempt, or goes on reading it.
+asio::awaitable<AttemptOutcome> Exchange::readAnswer() {
+  const ConnectionPtr C = m_attempt.m_connection;
+  AttemptOutcome Outcome = AttemptOutcome::Broken;
+  const Result<void> HeadRead = co_await readHead(C);
+  if (HeadRead) {
+    if (m_attempt.m_observation.m_firstByteMs == 0) {
+      const Duration Latency = clockNow() - m_attempt.m_sentAt;
+      m_core.m_endpoints.onFirstByte(m_attempt.m_choice.m_endpoint, Latency);
+      m_attempt.m_observation.m_firstByteMs = toMillis(Latency);
+    }
+    const bool IsStream =
+        m_route->m_kind == RouteKind::Stream && C->m_reader.head().isSuccess();
+    Outcome = IsStream ? co_await relayEvents(C) : co_await readResponse(C);
+  } else if (m_attemptTimer.fired()) {
+    Outcome = AttemptOutcome::Silent;
+  }
+  m_attempt.m_closedByPeer =
+      Outcome == AttemptOutcome::Broken && !m_attemptTimer.fired();
+  m_attemptTimer.disarm();
+  if (m_callerGone)
+    co_return AttemptOutcome::CallerGone;
+  if (Outcome == AttemptOutcome::Broken || Outcome == AttemptOutcome::Silent ||
+      Outcome == AttemptOutcome::Failure)
+    m_mayHaveRun = true;
+  co_return Outcome;
+}
+
+/// Whether the endpoint may still answer the attempt, since it was only left
+/// for another endpoint.
+bool Exchange::canResume(AttemptOutcome Outcome) const {
+  return Outcome == AttemptOutcome::Silent && m_attempt.m_connection &&
+         m_attempt.m_connection->m_open;
+}
+
+/// Releases the endpoint of the current attempt, or sets the attempt aside.
+void Exchange::endAttempt(AttemptOutcome Outcome, TimePoint Now) {
+  recordAttempt(Outcome, Now);
+  if (Outcome == AttemptOutcome::Delivered)
+    m_failover.reset();
+  else
+    m_query.m_excluded.push_back(m_attempt.m_choice.m_endpoint);
+  if (canResume(Outcome)) {
+    endSilentAttempt(Now);
+    m_silentAttempt = std::move(m_attempt);
+    m_attempt = Attempt();
+    return;
+  }
+  if (m_attempt.m_connection && Outcome != AttemptOutcome::Delivered)
+    m_attempt.m_connection->close();
+  m_attempt.m_connection = nullptr;
+  releaseEndpoint(m_attempt, Now);
+}
+
+/// Leaves the endpoint of the silent attempt for good.
+void Exchange::endSilentAttempt(TimePoint Now) {
+  m_silentAttemptTimer.disarm();
+  if (!m_silentAttempt)
+    return;
+  const Attempt Ended = std::move(*m_silentAttempt);
+  m_silentAttempt.reset();
+  Ended.m_connection->close();
+  releaseEndpoint(Ended, Now);
+}
+
+/// Goes on with the silent attempt, since no other endpoint took the request.
+asio::awaitable<AttemptOutcome> Exchange::resumeSilentAttempt() {
+  m_silentAttemptTimer.disarm();
+  m_attempt = std::move(*m_silentAttempt);
+  m_silentAttempt.reset();
+  m_core.m_metrics->count("silent_attempt_resumed");
+  decisionlog::line(LogClass::Failure, "silent_attempt_resumed")
+      .text("id", m_requestMetadata.m_id)
+      .text("endpoint", m_attempt.m_choice.m_endpoint)
+      .number("sends", m_sentAttempts);
+  limitAttempt(std::min<TimePoint>(m_deadline + DeadlineGrace,
+                                   clockNow() + StreamStallTimeout));
+  co_return co_await readAnswer();
+}
+
+/// Reads a complete response that is not a stream. Forwards it if it reports
+/// success; otherwise the request may still be sent to another endpoint.
+asio::awaitable<AttemptOutcome> Exchange::readResponse(ConnectionPtr C) {
+  std::string &Body = m_attempt.m_body;
+  for (;;) {
+    Body += C->m_reader.takeBody();
+    if (C->m_reader.complete())
+      break;
+    if (Body.size() > MaxResponseBodyBytes)
+      co_return AttemptOutcome::Broken;
+    const Result<void> Step = co_await readMore(C);
+    if (!Step)
+      co_return m_attemptTimer.fired() ? AttemptOutcome::Silent
+                                       : AttemptOutcome::Broken;
+  }
+  const HttpHead Head = C->m_reader.head();
+  m_attempt.m_status = Head.m_status;
+  const ResponseMetadata Metadata = m_core.m_dialect.responseMetadata(Head);
+  m_core.m_pool.release(C, clockNow());
+  m_attempt.m_connection = nullptr;
+  if (Metadata.m_notExecuted || Head.m_status == StatusMisdirected) {
+    if (Head.m_status == StatusMisdirected && !Metadata.m_endpoint.empty() &&
+        Metadata.m_endpoint != m_attempt.m_choice.m_endpoint)
+      m_attempt.m_endpointReplaced = true;
+    co_return AttemptOutcome::NotRun;
+  }
+  if (Head.isSuccess()) {
+    if (!Metadata.m_signed || Metadata.m_encoded)
+      co_return AttemptOutcome::Broken;
+    (void)co_await forwardResponse(Head, std::move(Body));
+    co_return AttemptOutcome::Delivered;
+  }
+  m_failureResponse = HttpClientResponse{Head, std::move(Body)};
+  co_return AttemptOutcome::Failure;
+}
+
+/// Records the first event of an attempt, which shows that the engine has
+/// finished the prefill of its prompt.
+void Exchange::recordFirstEvent() {
+  const TimePoint Now = clockNow();
+  m_attempt.m_prefillDone = true;
+  m_core.m_endpoints.onPrefillDone(m_attempt.m_choice.m_endpoint,
+                                   m_query.m_size, m_attempt.m_placedBy);
+  m_core.m_endpoints.onFirstEvent(m_query.m_service, Now - m_attempt.m_sentAt,
+                                  m_attempt.m_choice.m_pendingPrefillTokens +
+                                      m_query.m_size.m_promptTokens);
+  if (m_attempt.m_placedBy == PlacedBy::Coordinator) {
+    m_attempt.m_observation.m_firstEventMs = toMillis(Now - m_attempt.m_sentAt);
+    m_core.m_schedulerClient->onPrefillDone(m_attempt.m_coordinatorTicket,
+                                            m_attempt.m_observation);
+    m_attempt.m_observation = {};
+  } else {
+    m_core.notifyLoadChanged(m_attempt.m_choice.m_endpoint);
+  }
+  m_core.dispatchWaiting(Now);
+}
+
+/// Records the time since the previous events. A gap above the route's target
+/// makes the response late and shows that the engine is slow, however soon its
+/// first events come.
+void Exchange::recordEventGap(TimePoint Now) {
+  const Duration Gap = Now - m_lastEventsAt;
+  m_longestEventGap = std::max(m_longestEventGap, Gap);
+  m_core.m_endpoints.onInterval(m_attempt.m_choice.m_endpoint, Gap);
+  if (m_attempt.m_stalled || m_route->m_gapTarget == Milliseconds::zero() ||
+      Gap <= m_route->m_gapTarget)
+    return;
+  m_attempt.m_stalled = true;
+  m_attempt.m_observation.m_stalled = true;
+  m_core.m_endpoints.onStallSample(m_attempt.m_choice.m_endpoint, true);
+}
+
+/// Forwards complete events to the caller as they arrive. The response head is
+/// sent with the first event, so that the request can fail over to another
+/// endpoint until then.
+asio::awaitable<AttemptOutcome> Exchange::relayEvents(ConnectionPtr C) {
+  const HttpHead Head = C->m_reader.head();
+  const ResponseMetadata Metadata = m_core.m_dialect.responseMetadata(Head);
+  if (!Metadata.m_signed || Metadata.m_encoded)
+    co_return AttemptOutcome::Broken;
+  EventSplitter &Splitter = m_attempt.m_splitter;
+  const bool MayFailOver =
+      m_route->m_resumable && attemptsThatMayHaveRun() < m_route->m_maxAttempts;
+  for (;;) {
+    Splitter.add(C->m_reader.takeBody());
+    std::string NewEvents;
+    bool EventMissing = false;
+    while (std::optional<StreamEvent> Event = Splitter.next()) {
+      if (Event->m_id) {
+        if (m_lastEventId && *Event->m_id <= *m_lastEventId)
+          continue; // Already sent to the caller.
+        if (m_lastEventId && *Event->m_id != *m_lastEventId + 1) {
+          m_core.m_metrics->count("stream_gap_refused");
+          EventMissing = true;
+          break;
+        }
+        m_lastEventId = Event->m_id;
+      }
+      NewEvents += Event->m_bytes;
+    }
+    if (!NewEvents.empty()) {
+      m_failover.reset();
+      endSilentAttempt(clockNow());
+      if (!m_attempt.m_prefillDone)
+        recordFirstEvent();
+      else
+        recordEventGap(clockNow());
+      m_lastEventsAt = clockNow();
+      if (m_attempt.m_eventBatches++ == 0)
+        m_attempt.m_firstEventsAt = m_lastEventsAt;
+    }
+    // Complete events are forwarded even if the stream is truncated after them:
+    // they count as sent, and another endpoint continues after the last one.
+    const bool Truncated = EventMissing || Splitter.pending() > MaxEventBytes ||
+                           (C->m_reader.complete() && Splitter.pending() > 0);
+    const bool Complete = C->m_reader.complete() && !Truncated;
+    std::string Out;
+    if ((!NewEvents.empty() || Complete) && !m_committed) {
+      m_committed = true;
+      m_firstByteAt = clockNow();
+      m_status = Head.m_status;
+      Out = serializeResponseHead(Head, true, 0);
+    }
+    if (!NewEvents.empty())
+      Out += fmt::format("{:x}\r\n", NewEvents.size()) + NewEvents + "\r\n";
+    if (Complete) {
+      Out += "0\r\n\r\n";
+      m_core.m_pool.release(C, clockNow());
+      m_attempt.m_connection = nullptr;
+    }
+    if (!Out.empty() && !co_await write(std::move(Out)))
+      co_return AttemptOutcome::CallerGone;
+    if (Complete) {
+      if (!m_attempt.m_stalled) {
+        m_attempt.m_observation.m_stalled = false;
+        m_core.m_endpoints.onStallSample(m_attempt.m_choice.m_endpoint, false);
+      }
+      m_outcome = "ran";
+      co_return AttemptOutcome::Delivered;
+    }
+    if (Truncated)
+      co_return AttemptOutcome::Broken;
+    if (!NewEvents.empty()) {
+      const TimePoint Latest = m_deadline + DeadlineGrace;
+      limitAttempt(MayFailOver ? std::min<TimePoint>(
+                                     Latest, clockNow() + StreamStallTimeout)
+                               : Latest);
+    }
+    const Result<void> Step = co_await readMore(C);
+    if (!Step)
+      co_return m_attemptTimer.fired() ? AttemptOutcome::Silent
+                                       : AttemptOutcome::Broken;
+  }
+}
+
+/// Updates the health of the endpoint and the crash suspects with the outcome
+/// of an attempt, and logs an attempt that failed.
+void Exchange::recordAttempt(AttemptOutcome Outcome, TimePoint Now) {
+  EndpointTable &Table = m_core.m_endpoints;
+  const std::string &Id = m_attempt.m_choice.m_endpoint;
+  AttemptHealth Health = AttemptHealth::Good;
+  switch (Outcome) {
+  case AttemptOutcome::Delivered:
+    m_core.m_suspects.onCompleted(m_fingerprint);
+    break;
+  case AttemptOutcome::CallerGone:
+    return;
+  case AttemptOutcome::NotRun:
+    ++m_refusedAttempts;
+    Health = AttemptHealth::Refused;
+    m_attempt.m_observation.m_endpointReplaced = m_attempt.m_endpointReplaced;
+    m_attempt.m_observation.m_artifactRejected =
+        !m_attempt.m_endpointReplaced && m_engineService;
+    if (m_attempt.m_endpointReplaced)
+      Table.onReplaced(Id);
+    else if (m_engineService)
+      Table.onArtifactRejected(Id, m_query.m_model, m_query.m_adapter, Now);
+    break;
+  case AttemptOutcome::NotConnected:
+  case AttemptOutcome::Silent:
+    Health = AttemptHealth::Silent;
+    break;
+  case AttemptOutcome::Failure:
+  case AttemptOutcome::Broken:
+    Health = AttemptHealth::Failed;
+    break;
+  }
+  Table.onHealth(Id, Health, Now);
+  m_attempt.m_observation.m_health = Health;
+  if (m_attempt.m_eventBatches > 1)
+    m_attempt.m_observation.m_intervalMs =
+        toMillis(m_lastEventsAt - m_attempt.m_firstEventsAt) /
+        (m_attempt.m_eventBatches - 1);
+  if (Outcome == AttemptOutcome::Broken && m_attempt.m_closedByPeer &&
+      m_engineService)
+    if (const Endpoint *E = Table.find(Id))
+      m_core.m_suspects.strike(
+          m_fingerprint,
+          CrashSuspects::crashId(Id, E->m_record.m_incarnation + 1), Now);
+  if (Outcome == AttemptOutcome::Delivered)
+    return;
+  const Endpoint *E = Table.find(Id);
+  decisionlog::line(LogClass::Failure, "attempt")
+      .text("id", m_requestMetadata.m_id)
+      .text("endpoint", Id)
+      .text("end", nameOf(AttemptOutcomeNames, Outcome))
+      .number("status", m_attempt.m_status)
+      .number("load", m_attempt.m_choice.m_load)
+      .real("score_ms", m_attempt.m_choice.m_scoreMs)
+      .real("failures", E ? E->m_failureShare : -1)
+      .number("sends", m_sentAttempts)
+      .real("list_age_ms", toMillis(Now - m_core.m_copyConfirmedAt))
+      .text("model", m_query.m_model)
+      .text("adapter", m_query.m_adapter);
+  m_core.m_metrics->count("attempt_" +
+                          std::string(nameOf(AttemptOutcomeNames, Outcome)));
+}
+
+} // namespace primroseworks::gateway
--- a/src/libgateway/httpmessage.h
+++ b/src/libgateway/httpmessage.h
@@ -30,6 +30,8 @@
   std::optional<std::uint64_t> m_length;
   bool m_chunked = false;
 
+  /// Whether a response has a 2xx status.
+  bool isSuccess() const { return m_status >= 200 && m_status < 300; }
   /// Value of the first header with this lower-case name; null if absent.
   const std::string *find(std::string_view LowerName) const;
   /// Request target without its query.
