libgateway: requests that arrive at a time limit or a stop of the connection are answered

Callers saw a whole request end with a closed connection, neither answered nor refused, or a 408 for a request that came in time. Causes, all one class: two completions (a read and a timer or a close) of which only one is looked at. - The idle timer cancelled the read and closed the connection, though bytes had arrived or were in the kernel. Likely when the loop is late: a slow or suspended VM, or a large configuration that is being applied. - A timer that is cancelled after its time still runs its handler: it refused the request that had just begun (408), or cancelled the watch for the caller's leaving while the request was served, so engines went on working for callers who had left. - The limit of the configuration that was in force when the connection became idle held on after the operator had raised it; callers use connections by the newest one. - A stop shut idle connections down with requests unread in them, and closed connections whose last response hadn't announced it.

Now one guarded timer (Watchdog, so far only for outgoing connections) limits reads; what the kernel holds at the limit is read first; the idle limit is that of the newest configuration; a connection closes after a response only if the response says so, and the last response is given time to arrive (a close with unread bytes resets the connection).

Metrics caller_idle_closed, caller_bytes_at_time_limit, line caller_idle_closed with the age of the connection and of the configuration.

--- a/src/libgateway/callers.cpp
+++ b/src/libgateway/callers.cpp
@@ -26,7 +26,7 @@
 CallerConnection::CallerConnection(Core &Shared, CallerListener &Listener,
                                    asio::ip::tcp::socket Socket)
     : m_core(Shared), m_listener(Listener), m_socket(std::move(Socket)),
-      m_timer(Shared.m_io),
+      m_readTimer(Shared.m_io),
       m_reader(HttpRole::Request,
                Shared.m_configuration
                    ? Shared.m_configuration->m_limits.m_headerBytes
@@ -39,87 +39,151 @@
   m_core.m_metrics->count("caller_refused_" + std::to_string(Status));
   decisionlog::line(LogClass::Failure, "caller_refused")
       .number("status", Status);
+  m_lingers = true;
   co_await asio::async_write(
       m_socket, asio::buffer(Out),
       asio::redirect_error(asio::use_awaitable, Ignored));
   co_return false;
 }
 
+/// Limits the wait for the next request. Callers reuse a connection for as long
+/// as the newest configuration allows, so an older limit is extended to it.
+void CallerConnection::limitIdleTime() {
+  const auto Latest = [this] {
+    if (m_core.m_closing)
+      return m_idleSince;
+    const CallerLimits Limits = m_core.m_configuration
+                                    ? m_core.m_configuration->m_limits
+                                    : CallerLimits();
+    return m_idleSince + Limits.m_idleTimeout;
+  };
+  m_readTimer.arm(
+      Latest(),
+      [this] {
+        std::error_code Ignored;
+        m_socket.cancel(Ignored);
+      },
+      [Latest](TimePoint) { return Latest(); });
+}
+
+/// Limits the time until the request, or its next part, is complete.
+void CallerConnection::limitRequestTime(Milliseconds Timeout) {
+  m_readTimer.arm(clockNow() + Timeout, [this] {
+    std::error_code Ignored;
+    m_socket.cancel(Ignored);
+  });
+}
+
+/// Waits for bytes and appends them to the input.
+asio::awaitable<CallerConnection::ReadEnd> CallerConnection::readMore() {
+  char Buffer[ReadBufferBytes];
+  std::error_code Ec;
+  std::size_t N = co_await m_socket.async_read_some(
+      asio::buffer(Buffer), asio::redirect_error(asio::use_awaitable, Ec));
+  if (N == 0 && m_readTimer.fired()) {
+    // Bytes that arrived before the connection closes are a request all the
+    // same.
+    const ssize_t Available =
+        recv(m_socket.native_handle(), Buffer, sizeof(Buffer), MSG_DONTWAIT);
+    N = Available > 0 ? static_cast<std::size_t>(Available) : 0;
+    if (N > 0)
+      m_core.m_metrics->count("caller_bytes_at_time_limit");
+  }
+  m_input.append(Buffer, N);
+  if (N > 0)
+    co_return ReadEnd::Bytes;
+  co_return m_readTimer.fired() ? ReadEnd::TimedOut : ReadEnd::Closed;
+}
+
+/// Parses the input. Returns the status to refuse the request with, if it has
+/// to be refused.
+std::optional<unsigned> CallerConnection::parse(const CallerLimits &Limits) {
+  while (!m_input.empty() && !m_reader.complete()) {
+    const Result<std::size_t> Consumed = m_reader.read(m_input);
+    if (!Consumed)
+      return Consumed.error().m_kind == ErrorKind::Full ? 431 : 400;
+    m_input.erase(0, Consumed.value());
+    m_body += m_reader.takeBody();
+    if (m_body.size() > Limits.m_bodyBytes ||
+        m_reader.head().m_length.value_or(0) > Limits.m_bodyBytes)
+      return 413;
+    if (Consumed.value() == 0)
+      break;
+  }
+  return std::nullopt;
+}
+
+/// Sends the interim response that a caller waits for before it sends the
+/// body. Returns false if the expectation is unknown; it is refused then.
+asio::awaitable<bool>
+CallerConnection::answerExpectation(Milliseconds BodyTimeout) {
+  m_expectationAnswered = true;
+  if (const std::string *Expect = m_reader.head().find("expect")) {
+    if (lowerCase(*Expect) != "100-continue")
+      co_return co_await reject(417);
+    std::error_code Ignored;
+    const std::string Line = "HTTP/1.1 100 Continue\r\n\r\n";
+    co_await asio::async_write(
+        m_socket, asio::buffer(Line),
+        asio::redirect_error(asio::use_awaitable, Ignored));
+  }
+  limitRequestTime(BodyTimeout);
+  co_return true;
+}
+
+/// Ends a connection whose caller sent nothing more. Always returns false.
+asio::awaitable<bool> CallerConnection::onReadEnded(ReadEnd End) {
+  if (End == ReadEnd::TimedOut && m_reader.started())
+    co_return co_await reject(408);
+  m_lingers = false; // The caller waits for no response.
+  if (End == ReadEnd::TimedOut && !m_core.m_closing) {
+    m_core.m_metrics->count("caller_idle_closed");
+    const TimePoint Now = clockNow();
+    decisionlog::line(LogClass::KnownState, "caller_idle_closed")
+        .real("idle_ms", toMillis(Now - m_idleSince))
+        .real("config_age_ms", toMillis(Now - m_core.m_configurationAt));
+  }
+  co_return false;
+}
+
 /// Reads the next request. Returns false if the connection has to be closed.
 asio::awaitable<bool> CallerConnection::readRequest() {
   m_reader.reset();
   m_body.clear();
-  m_timedOut = false;
-  bool ExpectHandled = false;
-  bool Started = !m_input.empty();
-  m_firstByteAt = std::chrono::steady_clock::now();
+  m_expectationAnswered = false;
   const CallerLimits Limits = m_core.m_configuration
                                   ? m_core.m_configuration->m_limits
                                   : CallerLimits();
-  auto StartTimer = [this](Duration Timeout) {
-    m_timer.expires_after(Timeout);
-    m_timer.async_wait([Self = shared_from_this()](std::error_code Ec) {
-      if (Ec)
-        return;
-      Self->m_timedOut = true;
-      std::error_code Ignored;
-      Self->m_socket.cancel(Ignored);
-    });
-  };
-  StartTimer(Started ? Limits.m_headerTimeout : Limits.m_idleTimeout);
+  bool Started = !m_input.empty();
+  m_idleSince = clockNow();
+  m_firstByteAt = m_idleSince;
+  if (Started)
+    limitRequestTime(Limits.m_headerTimeout);
+  else
+    limitIdleTime();
   for (;;) {
-    if (!m_input.empty()) {
-      const Result<std::size_t> Consumed = m_reader.read(m_input);
-      if (!Consumed) {
-        m_timer.cancel();
-        co_return co_await reject(
-            Consumed.error().m_kind == ErrorKind::Full ? 431 : 400);
-      }
-      m_input.erase(0, Consumed.value());
-      m_body += m_reader.takeBody();
-      if (m_body.size() > Limits.m_bodyBytes ||
-          m_reader.head().m_length.value_or(0) > Limits.m_bodyBytes) {
-        m_timer.cancel();
-        co_return co_await reject(413);
-      }
-      if (m_reader.complete()) {
-        m_timer.cancel();
-        co_return true;
-      }
-      if (m_reader.headComplete() && !ExpectHandled) {
-        ExpectHandled = true;
-        if (const std::string *Expect = m_reader.head().find("expect")) {
-          if (lowerCase(*Expect) != "100-continue") {
-            m_timer.cancel();
-            co_return co_await reject(417);
-          }
-          std::error_code Ec;
-          const std::string Line = "HTTP/1.1 100 Continue\r\n\r\n";
-          co_await asio::async_write(
-              m_socket, asio::buffer(Line),
-              asio::redirect_error(asio::use_awaitable, Ec));
-        }
-        StartTimer(Limits.m_idleTimeout); // Timeout of the body.
-      }
-      if (Consumed.value() > 0 && !m_input.empty())
-        continue;
+    if (const std::optional<unsigned> Status = parse(Limits)) {
+      m_readTimer.disarm();
+      co_return co_await reject(*Status);
     }
-    char Buffer[ReadBufferBytes];
-    std::error_code Ec;
-    const std::size_t N = co_await m_socket.async_read_some(
-        asio::buffer(Buffer), asio::redirect_error(asio::use_awaitable, Ec));
-    if (m_timedOut && m_reader.started())
-      co_return co_await reject(408);
-    if (Ec || m_timedOut) {
-      m_timer.cancel();
+    if (m_reader.complete()) {
+      m_readTimer.disarm();
+      co_return true;
+    }
+    if (m_reader.headComplete() && !m_expectationAnswered &&
+        !co_await answerExpectation(Limits.m_idleTimeout))
       co_return false;
+    const ReadEnd End =
+        m_readTimer.fired() ? ReadEnd::TimedOut : co_await readMore();
+    if (End != ReadEnd::Bytes) {
+      m_readTimer.disarm();
+      co_return co_await onReadEnded(End);
     }
     if (!Started) {
       Started = true;
-      m_firstByteAt = std::chrono::steady_clock::now();
-      StartTimer(Limits.m_headerTimeout);
+      m_firstByteAt = clockNow();
+      limitRequestTime(Limits.m_headerTimeout);
     }
-    m_input.append(Buffer, N);
   }
 }
 
@@ -167,10 +231,19 @@
 }
 
 void CallerConnection::closeIfIdle() {
-  if (!idle() || !m_input.empty())
-    return;
-  std::error_code Ignored;
-  m_socket.shutdown(asio::ip::tcp::socket::shutdown_both, Ignored);
+  if (idle() && m_input.empty())
+    m_readTimer.expireNow();
+}
+
+/// Waits until the caller has read the last response and closed its side.
+asio::awaitable<void> CallerConnection::linger() {
+  std::error_code Ec;
+  m_socket.shutdown(asio::ip::tcp::socket::shutdown_send, Ec);
+  limitRequestTime(LingerTime);
+  char Buffer[ReadBufferBytes];
+  while (!Ec && !m_readTimer.fired())
+    co_await m_socket.async_read_some(
+        asio::buffer(Buffer), asio::redirect_error(asio::use_awaitable, Ec));
 }
 
 asio::awaitable<void> CallerConnection::run() {
@@ -193,10 +266,13 @@
     const bool CallerGone = !m_monitoring && m_input.size() < MaxPipelinedBytes;
     stopMonitoring();
     m_exchange = nullptr;
-    if (!KeepAlive || CallerGone || m_core.m_closing)
+    m_lingers = !CallerGone;
+    if (!KeepAlive || CallerGone)
       break;
   }
-  m_timer.cancel();
+  if (m_lingers)
+    co_await linger();
+  m_readTimer.disarm();
   std::error_code Ignored;
   m_socket.shutdown(asio::ip::tcp::socket::shutdown_send, Ignored);
   m_socket.close(Ignored);
--- a/src/libgateway/callers.h
+++ b/src/libgateway/callers.h
@@ -9,6 +9,7 @@
 #include <asio/awaitable.hpp>
 #include <asio/ip/tcp.hpp>
 #include <memory>
+#include <optional>
 #include <set>
 
 namespace primroseworks::gateway {
@@ -18,6 +19,10 @@
 inline constexpr Milliseconds CallerUnresponsiveTimeout{8000};
 /// Bytes of pipelined requests that are buffered while a request is served.
 inline constexpr std::size_t MaxPipelinedBytes = 65'536;
+/// After the last response on a connection, bytes of its caller are read and
+/// dropped for this long, unless it closes earlier. Closing a socket with
+/// unread bytes resets the connection, and the caller may lose the response.
+inline constexpr Milliseconds LingerTime{500};
 /// Length of the queue of connections that are not yet accepted.
 inline constexpr int AcceptBacklog = 1024;
 /// File descriptors reserved for everything but callers: endpoints, store and
@@ -33,13 +38,24 @@
                    asio::ip::tcp::socket Socket);
   /// Serves requests until the connection is closed.
   asio::awaitable<void> run();
-  /// Closes the connection unless it reads or serves a request.
+  /// Closes the connection unless a request is being read or served or has
+  /// already arrived.
   void closeIfIdle();
   bool idle() const { return !m_exchange && !m_reader.started(); }
 
 private:
+  /// How a wait for bytes of the caller ended.
+  enum class ReadEnd { Bytes, TimedOut, Closed };
+
   asio::awaitable<bool> readRequest();
+  std::optional<unsigned> parse(const CallerLimits &Limits);
+  asio::awaitable<bool> answerExpectation(Milliseconds BodyTimeout);
+  asio::awaitable<ReadEnd> readMore();
+  asio::awaitable<bool> onReadEnded(ReadEnd End);
+  void limitIdleTime();
+  void limitRequestTime(Milliseconds Timeout);
   asio::awaitable<bool> reject(unsigned Status);
+  asio::awaitable<void> linger();
   void startMonitoring();
   void stopMonitoring();
   void waitReadable();
@@ -48,14 +64,17 @@
   Core &m_core;
   CallerListener &m_listener;
   asio::ip::tcp::socket m_socket;
-  asio::steady_timer m_timer;
-  std::string m_input; ///< Received but not yet parsed.
+  Watchdog m_readTimer; ///< Cancels the read when it expires.
+  std::string m_input;  ///< Received but not yet parsed.
   HttpReader m_reader;
   std::string m_body;
+  bool m_expectationAnswered = false; ///< Of the request that is being read.
+  TimePoint m_idleSince{};            ///< When the wait for a request began.
   TimePoint m_firstByteAt{};
   std::shared_ptr<Exchange> m_exchange; ///< The current request; null if none.
   bool m_monitoring = false;
-  bool m_timedOut = false;
+  /// The caller may still read a response that was sent last.
+  bool m_lingers = false;
 };
 
 class CallerListener {
--- a/src/libgateway/exchange.cpp
+++ b/src/libgateway/exchange.cpp
@@ -332,14 +332,17 @@
 }
 
 std::string Exchange::serializeResponseHead(const HttpHead &Head, bool Chunked,
-                                            std::size_t Length) const {
+                                            std::size_t Length) {
   std::string Out = statusLine(Head.m_status);
   for (const HttpHeader &H : Head.m_headers)
     if (!Head.isHopByHop(H) && H.m_lowerName != "content-length")
       Out += H.m_name + ": " + H.m_value + "\r\n";
   Out += Chunked ? std::string("Transfer-Encoding: chunked\r\n")
                  : "Content-Length: " + std::to_string(Length) + "\r\n";
-  if (!m_keepAlive || m_core.m_stopping)
+  // The connection closes after this response only if the response says so: the
+  // caller may already have sent its next request otherwise.
+  m_keepAlive = m_keepAlive && !m_core.m_stopping;
+  if (!m_keepAlive)
     Out += "Connection: close\r\n";
   return Out + "\r\n";
 }
@@ -352,10 +355,7 @@
   m_outcome = Head.isSuccess() ? "ran" : "endpoint_failure";
   std::string Out = serializeResponseHead(Head, false, Body.size());
   Out += Body;
-  const bool Written = co_await write(std::move(Out));
-  if (m_core.m_stopping)
-    m_keepAlive = false;
-  co_return Written;
+  co_return co_await write(std::move(Out));
 }
 
 asio::awaitable<bool> Exchange::write(std::string Bytes) {
@@ -386,10 +386,9 @@
          (NotRun ? "not-run" : "unknown") + "\r\n";
   if (RetryAfter > Duration::zero())
     Out += fmt::format("Retry-After: {:.2f}\r\n", toSeconds(RetryAfter));
-  if (!m_keepAlive || m_core.m_stopping) {
+  m_keepAlive = m_keepAlive && !m_core.m_stopping;
+  if (!m_keepAlive)
     Out += "Connection: close\r\n";
-    m_keepAlive = false;
-  }
   Out += "\r\n" + Body;
   co_return co_await write(std::move(Out));
 }
--- a/src/libgateway/exchange.h
+++ b/src/libgateway/exchange.h
@@ -74,7 +74,7 @@
   void recordEventGap(TimePoint Now);
   std::string serializeRequest(TimePoint Now) const;
   std::string serializeResponseHead(const HttpHead &Head, bool Chunked,
-                                    std::size_t Length) const;
+                                    std::size_t Length);
   bool takeRetry(TimePoint Now);
   bool mayTryAgain(AttemptOutcome Outcome, TimePoint Now);
   bool canFailOver(TimePoint Now);
