libgateway: endpoints are left alone once their own responses say so

The platform's dialect decodes both once (the longest valid Retry-After; what is not a positive number of seconds is ignored; an hour at most takes effect). EndpointNotices keeps them by endpoint and incarnation, apart from the records of the store: an older list, a relay, a missing or returning record change nothing, a new incarnation inherits nothing.

Endpoint::acceptsRequests() is the one place that decides; the chooser, reservations, grants of coordinators, orders and reports ask it, and EndpointTable::maySend() is asked right before sending. A request whose endpoint became unavailable meanwhile is placed again (outcome not_sent: no retry is used, the endpoint's health stays). All responses are read: heads of streams, refusals, failures, late responses to others, orders, reports; a response of another endpoint at the address counts for nothing. Gateways tell their coordinator in the observation that they send anyway, with the first event or the end. If all suitable endpoints want nothing, the request waits only if one is back in time, else it is rejected with a Retry-After drawn from theirs. Line endpoint_notice, counters endpoint_leaving, endpoint_paused, attempt_not_sent.

--- a/src/libgateway/attempt.h
+++ b/src/libgateway/attempt.h
@@ -16,15 +16,17 @@
 enum class AttemptOutcome {
   Delivered,    ///< The response was forwarded to the caller.
   NotConnected, ///< No connection; nothing was sent.
+  NotSent,      ///< The endpoint no longer accepts requests; nothing was sent.
   NotRun,       ///< The endpoint stated that it did not run the request.
   Failure,      ///< A complete response that reports a failure.
   Broken,       ///< The response was truncated or invalid.
   Silent,       ///< No response, or no further event, before the timeout.
   CallerGone    ///< The caller closed its connection.
 };
-inline constexpr NameTable<AttemptOutcome, 7> AttemptOutcomeNames = {
+inline constexpr NameTable<AttemptOutcome, 8> AttemptOutcomeNames = {
     {{AttemptOutcome::Delivered, "delivered"},
      {AttemptOutcome::NotConnected, "not_connected"},
+     {AttemptOutcome::NotSent, "not_sent"},
      {AttemptOutcome::NotRun, "not_run"},
      {AttemptOutcome::Failure, "failure"},
      {AttemptOutcome::Broken, "broken"},
@@ -66,6 +68,7 @@
   Choice m_choice;
   PlacedBy m_placedBy = PlacedBy::Local;
   CoordinatorTicket m_coordinatorTicket; ///< If a coordinator placed it.
+  std::uint64_t m_incarnation = 0;       ///< Of the endpoint.
   ConnectionPtr m_connection;            ///< Null before it is sent.
   TimePoint m_sentAt{};
   /// The request was sent completely, so the attempt can be resumed.
--- a/src/libgateway/chooser.cpp
+++ b/src/libgateway/chooser.cpp
@@ -3,6 +3,7 @@
 #include "primroseworks/hash.h"
 
 #include <algorithm>
+#include <array>
 
 namespace primroseworks::gateway {
 
@@ -15,6 +16,20 @@
   return It == Regions.end() ? Domain : It->second;
 }
 
+/// Obstacles, from the one farthest from success to the closest.
+constexpr std::array<ChoiceObstacle, 7> ObstacleOrder = {
+    ChoiceObstacle::None,    ChoiceObstacle::NoEndpoint,
+    ChoiceObstacle::NoModel, ChoiceObstacle::NoAdapter,
+    ChoiceObstacle::Paused,  ChoiceObstacle::Full,
+    ChoiceObstacle::Excluded};
+
+bool closerToSuccess(ChoiceObstacle A, ChoiceObstacle B) {
+  const auto Position = [](ChoiceObstacle O) {
+    return std::find(ObstacleOrder.begin(), ObstacleOrder.end(), O);
+  };
+  return Position(A) > Position(B);
+}
+
 /// Whether the endpoint has capacity for a request of this rank.
 bool hasCapacity(const ChoiceQuery &Query, const Service &Target,
                  const EndpointLoad &Load, unsigned Slots,
@@ -93,22 +108,23 @@
   Choice Out;
   auto RecordObstacle = [&Out](ChoiceObstacle O) {
     // Reports the obstacle that is closest to success: it tells what to change.
-    if (static_cast<int>(O) > static_cast<int>(Out.m_obstacle))
+    if (closerToSuccess(O, Out.m_obstacle))
       Out.m_obstacle = O;
   };
+  TimePoint PauseEnd = TimePoint::max();
+  TimePoint ExcludedPauseEnd = TimePoint::max();
   const bool NeedsModel = !Query.m_model.empty() && Target.m_engine;
   if (NeedsModel) {
     const auto &All = Table.holders(Query.m_service, "");
-    if (std::any_of(All.begin(), All.end(), [Now](const Endpoint *E) {
-          return E->acceptsRequests(Now);
-        }))
+    if (std::any_of(All.begin(), All.end(),
+                    [Now](const Endpoint *E) { return E->available(Now); }))
       RecordObstacle(ChoiceObstacle::NoModel);
   }
   for (const Endpoint *Holder :
        Table.holders(Query.m_service, NeedsModel ? Query.m_model : "")) {
     const Endpoint &E = *Holder;
     const std::string &Id = E.m_record.m_id;
-    if (!E.acceptsRequests(Now))
+    if (!E.available(Now))
       continue;
     RecordObstacle(ChoiceObstacle::NoEndpoint);
     if (NeedsModel) {
@@ -123,6 +139,13 @@
     if (std::find(Query.m_excluded.begin(), Query.m_excluded.end(), Id) !=
         Query.m_excluded.end()) {
       RecordObstacle(ChoiceObstacle::Excluded);
+      if (E.paused(Now))
+        ExcludedPauseEnd = std::min(ExcludedPauseEnd, E.m_notice.m_pausedUntil);
+      continue;
+    }
+    if (!E.acceptsRequests(Now)) {
+      RecordObstacle(ChoiceObstacle::Paused);
+      PauseEnd = std::min(PauseEnd, E.m_notice.m_pausedUntil);
       continue;
     }
     unsigned Slots = E.m_record.m_slots;
@@ -136,8 +159,14 @@
     }
     Candidates.push_back({&E, Load, Slots, E.m_failureShare > MaxFailureShare});
   }
-  if (Candidates.empty())
+  if (Candidates.empty()) {
+    if (Out.m_obstacle == ChoiceObstacle::Paused)
+      Out.m_pausedUntil = PauseEnd;
+    else if (Out.m_obstacle == ChoiceObstacle::Excluded &&
+             ExcludedPauseEnd < TimePoint::max())
+      Out.m_pausedUntil = ExcludedPauseEnd;
     return Out;
+  }
   // An avoided endpoint is used only for a due probe, or if all are avoided.
   const Candidate *Best = nullptr;
   double BestScoreMs = 0;
--- a/src/libgateway/chooser.h
+++ b/src/libgateway/chooser.h
@@ -47,15 +47,17 @@
   NoModel,    ///< No usable endpoint has the model loaded.
   NoAdapter,  ///< The model is loaded somewhere, but not with the adapter.
   Full,       ///< All suitable endpoints are at their limit for this rank.
-  Excluded    ///< All remaining endpoints have already failed this request.
+  Excluded,   ///< All remaining endpoints have already failed this request.
+  Paused      ///< All remaining endpoints want no requests for some time.
 };
-inline constexpr NameTable<ChoiceObstacle, 6> ChoiceObstacleNames = {
+inline constexpr NameTable<ChoiceObstacle, 7> ChoiceObstacleNames = {
     {{ChoiceObstacle::None, "none"},
      {ChoiceObstacle::NoEndpoint, "no_endpoint"},
      {ChoiceObstacle::NoModel, "no_model"},
      {ChoiceObstacle::NoAdapter, "no_adapter"},
      {ChoiceObstacle::Full, "full"},
-     {ChoiceObstacle::Excluded, "excluded"}}};
+     {ChoiceObstacle::Excluded, "excluded"},
+     {ChoiceObstacle::Paused, "paused"}}};
 
 struct Choice {
   ChoiceObstacle m_obstacle = ChoiceObstacle::NoEndpoint;
@@ -66,6 +68,9 @@
   /// Known requests at the endpoint, of this VM and of its peers.
   unsigned m_load = 0;
   unsigned m_candidates = 0; ///< Number of eligible endpoints.
+  /// When the first paused endpoint takes requests again, if the obstacle is
+  /// Paused, or Excluded and an excluded endpoint is paused.
+  std::optional<TimePoint> m_pausedUntil;
 };
 
 /// Penalty for another region: the round trip and the price of its traffic.
--- a/src/libgateway/connections.cpp
+++ b/src/libgateway/connections.cpp
@@ -204,6 +204,15 @@
     return;
   }
   C->m_idleLimit = idleLimitOf(C->m_reader.head());
+  addIdle(C, Now);
+}
+
+void ConnectionPool::releaseUnused(const ConnectionPtr &C, TimePoint Now) {
+  if (C->m_open)
+    addIdle(C, C->m_reused ? C->m_idleSince : Now);
+}
+
+void ConnectionPool::addIdle(const ConnectionPtr &C, TimePoint Now) {
   C->m_idleSince = Now;
   ++C->m_idleGeneration;
   m_idle[C->m_key].push_back(C);
--- a/src/libgateway/connections.h
+++ b/src/libgateway/connections.h
@@ -88,6 +88,8 @@
   /// Returns a connection to the pool if its response is complete and it can be
   /// reused; closes it otherwise.
   void release(const ConnectionPtr &C, TimePoint Now);
+  /// Returns a connection on which nothing was sent since it was acquired.
+  void releaseUnused(const ConnectionPtr &C, TimePoint Now);
   /// Closes connections that have reached their idle limit.
   void expire(TimePoint Now);
   /// Closes the idle connections of Key.
@@ -96,6 +98,7 @@
   unsigned inUse(const std::string &Key) const;
 
 private:
+  void addIdle(const ConnectionPtr &C, TimePoint Now);
   void watchIdle(const ConnectionPtr &C);
   ConnectionPtr acquireIdle(const std::string &Key);
 
--- a/src/libgateway/core.cpp
+++ b/src/libgateway/core.cpp
@@ -1,5 +1,6 @@
 // Dispatch and retry operations on the shared gateway state.
 #include "libgateway/core.h"
+#include "libgateway/log.h"
 #include "libgateway/schedulerclient.h"
 
 namespace primroseworks::gateway {
@@ -24,22 +25,29 @@
                       TimePoint Now) {
   Admission Out;
   Out.m_obstacle = ChoiceObstacle::Full;
-  if (m_queue.empty()) {
+  std::optional<TimePoint> PausedUntil;
+  if (m_queue.empty() || m_endpoints.anyPause(Now)) {
     const Choice C = choose(Query, Now);
-    Out.m_obstacle = C.m_obstacle;
-    if (C.m_obstacle == ChoiceObstacle::None) {
+    if (m_queue.empty() || C.m_obstacle == ChoiceObstacle::Paused) {
+      Out.m_obstacle = C.m_obstacle;
+      PausedUntil = C.m_pausedUntil;
+    }
+    if (Out.m_obstacle == ChoiceObstacle::None) {
       W.onDispatched(C, Now);
       return Out;
     }
   }
   Out.m_rejected = true;
   if (Out.m_obstacle == ChoiceObstacle::Excluded) {
-    if (!Query.m_mayRevisit)
+    if (!Query.m_mayRevisit) {
+      Out.m_expectedWait = PausedUntil ? *PausedUntil - Now : Duration::zero();
       return Out;
+    }
     Query.m_excluded.clear();
   }
-  Out.m_expectedWait =
-      expectedWait(Query, Out.m_obstacle, Limits.m_onTimeUntil, Now);
+  Out.m_expectedWait = PausedUntil ? *PausedUntil - Now
+                                   : expectedWait(Query, Out.m_obstacle,
+                                                  Limits.m_onTimeUntil, Now);
   if (Out.m_expectedWait > Limits.m_maxWait ||
       Limits.m_maxWait <= Duration::zero())
     return Out;
@@ -114,6 +122,30 @@
   dispatchWaiting(Now);
 }
 
+void Core::onNotice(const std::string &Id, const EndpointNotice &Notice,
+                    NoticeSource Source, TimePoint Now) {
+  if (!m_endpoints.onNotice(Id, Notice))
+    return;
+  const Duration Pause = std::max(Duration::zero(), Notice.m_pausedUntil - Now);
+  m_metrics->count(Notice.m_leaving ? "endpoint_leaving" : "endpoint_paused");
+  decisionlog::line(LogClass::KnownState, "endpoint_notice")
+      .text("endpoint", Id)
+      .number("incarnation", static_cast<std::int64_t>(Notice.m_incarnation))
+      .number("leaving", Notice.m_leaving ? 1 : 0)
+      .real("pause_ms", toMillis(Pause))
+      .text("source", nameOf(NoticeSourceNames, Source));
+  if (Notice.m_leaving && m_onAdapterWanted)
+    m_onAdapterWanted(); // Its models may be needed elsewhere.
+}
+
+void Core::onResponse(const std::string &Id, std::uint64_t Incarnation,
+                      const HttpHead &Head, TimePoint Now) {
+  const std::optional<EndpointNotice> Notice =
+      noticeIn(Head, m_dialect.responseMetadata(Head), Id, Incarnation, Now);
+  if (Notice)
+    onNotice(Id, *Notice, NoticeSource::Response, Now);
+}
+
 void Core::rejectWaiting() {
   m_rejectingWaiting = true;
   std::vector<Waiter *> Waiters;
--- a/src/libgateway/core.h
+++ b/src/libgateway/core.h
@@ -79,6 +79,12 @@
     if (m_onLoadChanged)
       m_onLoadChanged(Endpoint);
   }
+  /// Takes what an endpoint said of itself.
+  void onNotice(const std::string &Id, const EndpointNotice &Notice,
+                NoticeSource Source, TimePoint Now);
+  /// Takes what a response of an endpoint says of the endpoint itself.
+  void onResponse(const std::string &Id, std::uint64_t Incarnation,
+                  const HttpHead &Head, TimePoint Now);
   /// Rejects all waiting requests, and from then on those that would have to
   /// wait.
   void rejectWaiting();
--- a/src/libgateway/dialect.h
+++ b/src/libgateway/dialect.h
@@ -17,8 +17,11 @@
                               ///< request.
   bool m_signed = false;      ///< Carries the engine's signature.
   bool m_encoded = false;     ///< The body has a content encoding.
-  std::string m_requestId;    ///< Empty if the response has none.
-  std::string m_endpoint;     ///< Id of the responding endpoint, if stated.
+  bool m_leaving = false;     ///< The engine states that it is leaving.
+  /// Time for which the engine wants no requests; zero if it states none.
+  Duration m_retryAfter{};
+  std::string m_requestId; ///< Empty if the response has none.
+  std::string m_endpoint;  ///< Id of the responding endpoint, if stated.
 };
 
 /// Information about one attempt that the gateway sends to an engine.
--- a/src/libgateway/endpoints.cpp
+++ b/src/libgateway/endpoints.cpp
@@ -92,6 +92,7 @@
     E.m_coordinatedLoad = CoordinatedLoad;
   }
   E.m_record = Record;
+  E.m_notice = m_notices.find(Record.m_id, Record.m_incarnation);
   E.m_keptUntil.reset();
   if (IsNew ||
       (!E.m_controlledHere && Now - E.m_lastOrderTime > OrderSettleTime))
@@ -125,7 +126,22 @@
     onRemoved(Id, KeepUntil, Now);
 }
 
+bool EndpointTable::maySend(const std::string &Id, TimePoint Now) const {
+  const auto It = m_endpoints.find(Id);
+  return It != m_endpoints.end() && It->second.acceptsRequests(Now);
+}
+
+bool EndpointTable::onNotice(const std::string &Id,
+                             const EndpointNotice &Notice) {
+  const bool IsNew = m_notices.add(Id, Notice);
+  if (Endpoint *E = find(Id))
+    E->m_notice = m_notices.find(Id, E->m_record.m_incarnation);
+  return IsNew;
+}
+
 void EndpointTable::expire(TimePoint Now) {
+  m_notices.expire(
+      [this](const std::string &Id) { return m_endpoints.count(Id) > 0; }, Now);
   for (auto It = m_endpoints.begin(); It != m_endpoints.end();) {
     Endpoint &E = It->second;
     if (E.m_keptUntil && *E.m_keptUntil <= Now) {
--- a/src/libgateway/endpoints.h
+++ b/src/libgateway/endpoints.h
@@ -3,6 +3,7 @@
 #ifndef PRIMROSEWORKS_LIBGATEWAY_ENDPOINTS_H
 #define PRIMROSEWORKS_LIBGATEWAY_ENDPOINTS_H
 
+#include "libgateway/endpointnotice.h"
 #include "libgateway/engineledger.h"
 #include "libgateway/types.h"
 
@@ -85,11 +86,22 @@
   /// endpoint is dropped then, unless the record returns.
   std::optional<TimePoint> m_keptUntil;
 
+  EndpointNotice m_notice; ///< Of this incarnation.
+
   const HeldModel *held(const std::string &Model) const;
   bool holds(const std::string &Model, const std::string &Adapter) const;
-  /// Whether requests may be sent to it at Now.
+  /// Whether it is leaving, by its record or by its own responses.
+  bool leaving() const { return m_record.m_draining || m_notice.m_leaving; }
+  /// Whether it is registered and is not leaving, paused or not.
+  bool available(TimePoint Now) const {
+    return !leaving() && (!m_keptUntil || Now < *m_keptUntil);
+  }
+  /// Whether it asked for a pause that is not over.
+  bool paused(TimePoint Now) const { return Now < m_notice.m_pausedUntil; }
+  /// Whether requests may be sent to it at Now. Whatever chooses, reserves or
+  /// sends asks this.
   bool acceptsRequests(TimePoint Now) const {
-    return !m_record.m_draining && (!m_keptUntil || Now < *m_keptUntil);
+    return available(Now) && !paused(Now);
   }
   EndpointLoad load() const; ///< Local load plus that of the peers.
   void setPeerLoad(const std::string &Peer, EndpointLoad Load, TimePoint Until);
@@ -140,7 +152,15 @@
   /// Removes an endpoint: at KeepUntil, unless its record returns before, or at
   /// once if that time is over. A later removal does not keep it any longer.
   void onRemoved(const std::string &Id, TimePoint KeepUntil, TimePoint Now);
-  /// Drops endpoints whose records did not return, and expired peer loads.
+  /// Whether a request that was placed at the endpoint may be sent there at
+  /// Now.
+  bool maySend(const std::string &Id, TimePoint Now) const;
+  bool anyPause(TimePoint Now) const { return m_notices.anyPause(Now); }
+  /// Takes what an endpoint said of itself, which may not be registered.
+  /// Returns whether that is new.
+  bool onNotice(const std::string &Id, const EndpointNotice &Notice);
+  /// Drops endpoints whose records did not return, expired peer loads and old
+  /// notices.
   void expire(TimePoint Now);
 
   /// Sets the load that a peer has at an endpoint; it counts until Until.
@@ -200,6 +220,7 @@
 
 private:
   std::map<std::string, Endpoint> m_endpoints; ///< By id.
+  EndpointNotices m_notices;
   using ServiceAndModel = std::pair<std::string, std::string>;
   /// Index of m_endpoints, built again when m_holdersValid is false. An empty
   /// model stands for all endpoints of the service.
--- a/src/libgateway/exchange.cpp
+++ b/src/libgateway/exchange.cpp
@@ -203,7 +203,8 @@
 
 /// Whether the request may be sent to another endpoint after this outcome.
 bool Exchange::mayTryAgain(AttemptOutcome Outcome, TimePoint Now) {
-  if (Outcome == AttemptOutcome::NotConnected)
+  if (Outcome == AttemptOutcome::NotConnected ||
+      Outcome == AttemptOutcome::NotSent)
     return true;
   return (Outcome == AttemptOutcome::NotRun || m_route->mayRunAgain()) &&
          takeRetry(Now);
--- a/src/libgateway/exchange.h
+++ b/src/libgateway/exchange.h
@@ -83,6 +83,7 @@
   Duration maxEndpointWait(TimePoint Now) const;
   Duration currentRetryAfter(TimePoint Now);
   void recordAttempt(AttemptOutcome Outcome, TimePoint Now);
+  void observeNotice(TimePoint Now);
   void logCompletion(TimePoint Now) const;
 
   Core &m_core;
--- a/src/libgateway/exchangeattempt.cpp
+++ b/src/libgateway/exchangeattempt.cpp
@@ -96,6 +96,8 @@
     const HttpHead &Head = C->m_reader.head();
     const bool IsInterim = Head.m_status >= 100 && Head.m_status < 200;
     const ResponseMetadata Metadata = m_core.m_dialect.responseMetadata(Head);
+    m_core.onResponse(m_attempt.m_choice.m_endpoint, m_attempt.m_incarnation,
+                      Head, clockNow());
     if (!IsInterim && (Metadata.m_requestId.empty() ||
                        Metadata.m_requestId == m_requestMetadata.m_id))
       co_return boost::outcome_v2::success();
@@ -166,12 +168,17 @@
   // the connection was opened.
   E = m_core.m_endpoints.find(m_attempt.m_choice.m_endpoint);
   Now = clockNow();
-  if (!E || !E->acceptsRequests(Now) || Now >= m_deadline) {
+  if (!E || Now >= m_deadline) {
     C->close();
     co_return AttemptOutcome::NotConnected;
   }
+  if (!m_core.m_endpoints.maySend(m_attempt.m_choice.m_endpoint, Now)) {
+    m_core.m_pool.releaseUnused(C, Now);
+    co_return AttemptOutcome::NotSent;
+  }
   if (E->m_keptUntil)
     m_core.m_metrics->count("sent_to_lapsed_endpoint");
+  m_attempt.m_incarnation = E->m_record.m_incarnation;
   m_attempt.m_connection = C;
   m_attempt.m_sentAt = Now;
   ++m_sentAttempts;
@@ -226,6 +233,7 @@
 /// Releases the endpoint of the current attempt, or sets the attempt aside.
 void Exchange::endAttempt(AttemptOutcome Outcome, TimePoint Now) {
   recordAttempt(Outcome, Now);
+  m_expectedWait = m_attempt.m_observation.m_pause;
   if (Outcome == AttemptOutcome::Delivered)
     m_failover.reset();
   else
@@ -316,6 +324,7 @@
                                       m_query.m_size.m_promptTokens);
   if (m_attempt.m_placedBy == PlacedBy::Coordinator) {
     m_attempt.m_observation.m_firstEventMs = toMillis(Now - m_attempt.m_sentAt);
+    observeNotice(Now);
     m_core.m_schedulerClient->onPrefillDone(m_attempt.m_coordinatorTicket,
                                             m_attempt.m_observation);
     m_attempt.m_observation = {};
@@ -423,12 +432,26 @@
   }
 }
 
+/// Adds what the endpoint has said of itself to what the attempt shows.
+void Exchange::observeNotice(TimePoint Now) {
+  const Endpoint *E = m_core.m_endpoints.find(m_attempt.m_choice.m_endpoint);
+  if (!E)
+    return;
+  AttemptObservation &O = m_attempt.m_observation;
+  O.m_leaving = E->m_notice.m_leaving;
+  O.m_pause =
+      std::max(Milliseconds::zero(), std::chrono::duration_cast<Milliseconds>(
+                                         E->m_notice.m_pausedUntil - Now));
+  O.m_incarnation = E->m_record.m_incarnation;
+}
+
 /// Updates the health of the endpoint and the crash suspects with the outcome
 /// of an attempt, and logs an attempt that failed.
 void Exchange::recordAttempt(AttemptOutcome Outcome, TimePoint Now) {
   EndpointTable &Table = m_core.m_endpoints;
   const std::string &Id = m_attempt.m_choice.m_endpoint;
   AttemptHealth Health = AttemptHealth::Good;
+  observeNotice(Now);
   switch (Outcome) {
   case AttemptOutcome::Delivered:
     m_core.m_suspects.onCompleted(m_fingerprint);
@@ -446,6 +469,9 @@
     else if (m_engineService)
       Table.onArtifactRejected(Id, m_query.m_model, m_query.m_adapter, Now);
     break;
+  case AttemptOutcome::NotSent:
+    Health = AttemptHealth::Refused;
+    break;
   case AttemptOutcome::NotConnected:
   case AttemptOutcome::Silent:
     Health = AttemptHealth::Silent;
@@ -480,6 +506,8 @@
       .real("failures", E ? E->m_failureShare : -1)
       .number("sends", m_sentAttempts)
       .real("list_age_ms", toMillis(Now - m_core.m_copyConfirmedAt))
+      .number("leaving", m_attempt.m_observation.m_leaving ? 1 : 0)
+      .real("pause_ms", toMillis(m_attempt.m_observation.m_pause))
       .text("model", m_query.m_model)
       .text("adapter", m_query.m_adapter);
   m_core.m_metrics->count("attempt_" +
--- a/src/libgateway/placementleader.cpp
+++ b/src/libgateway/placementleader.cpp
@@ -86,12 +86,13 @@
   PlacementEngine P;
   P.m_id = E.m_record.m_id;
   P.m_held = E.m_held;
-  P.m_leaving = E.m_record.m_draining || E.m_keptUntil.has_value();
+  P.m_leaving = E.leaving() || E.m_keptUntil.has_value();
   P.m_unresponsive = E.m_consecutiveSilent >= 2;
   P.m_load = E.load().m_requests;
   P.m_cachedModels = E.m_record.m_cachedModels;
   const auto Backoff = m_backoff.find(P.m_id);
-  P.m_busy = Backoff != m_backoff.end() && Backoff->second > Now;
+  P.m_busy =
+      (Backoff != m_backoff.end() && Backoff->second > Now) || E.paused(Now);
   const EngineLedger *L = ledger(P.m_id);
   if (L && L->orders()) {
     P.m_occupancy = L->occupancy();
@@ -223,6 +224,7 @@
   for (const auto &[Id, E] : m_core.m_endpoints.all()) {
     const EngineLedger *L = ledger(Id);
     if (!L || m_pendingOrders.count(Id) || Now < m_nextPoll[Id] ||
+        E.paused(Now) ||
         !(L->unsettled() || L->disagrees(E.m_record.m_models, Now)))
       continue;
     m_nextPoll[Id] = Now + UnsettledPollInterval;
@@ -234,8 +236,9 @@
                                                    EngineOrder Order) {
   const Endpoint *E = m_core.m_endpoints.find(Move.m_engine);
   const std::optional<std::uint64_t> Token = m_claim.tokenAt(BootClock::now());
-  if (!E || !Token)
+  if (!E || !Token || E->paused(clockNow()))
     co_return OrderResult::NotExecuted;
+  const std::uint64_t Incarnation = E->m_record.m_incarnation;
   Order.m_holder = m_holder;
   Order.m_fencingToken = *Token;
   const std::string Address = E->m_record.m_address;
@@ -245,10 +248,13 @@
       m_core.m_io, m_core.m_pool, Move.m_engine + '@' + Address, Address,
       Request, OrderTimeout);
   OrderResult Outcome = OrderResult::Unknown;
-  if (Response)
+  if (Response) {
     Outcome = m_core.m_dialect.orderResult(Response.value().m_head.m_status);
-  else if (Response.error().m_kind == ErrorKind::Unavailable)
+    m_core.onResponse(Move.m_engine, Incarnation, Response.value().m_head,
+                      clockNow());
+  } else if (Response.error().m_kind == ErrorKind::Unavailable) {
     Outcome = OrderResult::NotExecuted;
+  }
   m_core.m_metrics->order(std::string(nameOf(OrderKindNames, Move.m_kind)) +
                               (Move.m_adapter.empty() ? "_model" : "_adapter"),
                           std::string(nameOf(OrderResultNames, Outcome)));
@@ -269,7 +275,7 @@
 /// taken and the engine is idle.
 asio::awaitable<bool> PlacementLeader::refreshFromReport(std::string Id) {
   const Endpoint *E = m_core.m_endpoints.find(Id);
-  if (!E)
+  if (!E || E->paused(clockNow()))
     co_return false;
   const std::string Address = E->m_record.m_address;
   const std::uint64_t Incarnation = E->m_record.m_incarnation;
@@ -277,6 +283,8 @@
   Result<HttpClientResponse> Response = co_await callHttp(
       m_core.m_io, m_core.m_pool, Id + '@' + Address, Address,
       m_core.m_dialect.reportRequest(E->m_record), OrderTimeout);
+  if (Response)
+    m_core.onResponse(Id, Incarnation, Response.value().m_head, clockNow());
   if (!Response || Response.value().m_head.m_status != 200)
     co_return false;
   Result<EngineReport> Report =
--- a/src/libgateway/scheduler.cpp
+++ b/src/libgateway/scheduler.cpp
@@ -157,6 +157,12 @@
     Table.onArtifactRejected(Id, Query.m_model, Query.m_adapter, Now);
   if (Observation.m_health)
     Table.onHealth(Id, *Observation.m_health, Now);
+  if (Observation.m_leaving || Observation.m_pause > Milliseconds::zero())
+    m_core.onNotice(Id,
+                    {Observation.m_incarnation, Observation.m_leaving,
+                     Now + std::min(Observation.m_pause, MaxEndpointPause),
+                     Now},
+                    NoticeSource::Gateway, Now);
   if (Observation.m_endpointReplaced)
     Table.onReplaced(Id);
 }
--- a/src/libgateway/schedulingmessage.cpp
+++ b/src/libgateway/schedulingmessage.cpp
@@ -101,13 +101,13 @@
 
 Json encode(const AttemptUpdate &U) {
   const AttemptObservation &O = U.m_observation;
-  return Json::array({encodeEnum(MessageKind::Update), U.m_sender.m_name,
-                      U.m_sender.m_start, U.m_ticket, encodeEnum(U.m_stage),
-                      O.m_health ? encodeEnum(*O.m_health) : Json(),
-                      tenths(O.m_firstByteMs), tenths(O.m_firstEventMs),
-                      tenths(O.m_intervalMs),
-                      O.m_stalled ? Json(*O.m_stalled) : Json(),
-                      O.m_artifactRejected, O.m_endpointReplaced});
+  return Json::array(
+      {encodeEnum(MessageKind::Update), U.m_sender.m_name, U.m_sender.m_start,
+       U.m_ticket, encodeEnum(U.m_stage),
+       O.m_health ? encodeEnum(*O.m_health) : Json(), tenths(O.m_firstByteMs),
+       tenths(O.m_firstEventMs), tenths(O.m_intervalMs),
+       O.m_stalled ? Json(*O.m_stalled) : Json(), O.m_artifactRejected,
+       O.m_endpointReplaced, O.m_leaving, O.m_pause.count(), O.m_incarnation});
 }
 
 AttemptUpdate decodeUpdate(const Json &In) {
@@ -125,6 +125,11 @@
     O.m_stalled = In.at(9).get<bool>();
   In.at(10).get_to(O.m_artifactRejected);
   In.at(11).get_to(O.m_endpointReplaced);
+  if (In.size() <= 12)
+    return U; // From a gateway that does not read such notices.
+  In.at(12).get_to(O.m_leaving);
+  O.m_pause = Milliseconds(In.at(13).get<std::int64_t>());
+  In.at(14).get_to(O.m_incarnation);
   return U;
 }
 
--- a/src/libgateway/schedulingmessage.h
+++ b/src/libgateway/schedulingmessage.h
@@ -79,6 +79,10 @@
   std::optional<bool> m_stalled; ///< Empty: not known.
   bool m_artifactRejected = false;
   bool m_endpointReplaced = false;
+  /// What the endpoint said of itself.
+  bool m_leaving = false;
+  Milliseconds m_pause{0};         ///< Rest of the pause it asked for.
+  std::uint64_t m_incarnation = 0; ///< That said so.
 };
 
 /// Progress of a request that a coordinator scheduled.
