libgateway: a request that failed at one endpoint may wait for another that is full

Callers saw a request refused, or a begun stream broken off, at once although an endpoint that could take it was only full for the moment: of several obstacles, "already failed there" counted as closer to success than "full", and with it no wait was tried. It did wait if others waited already. Now full is the closest obstacle, then paused, then already failed.

--- a/src/libgateway/chooser.cpp
+++ b/src/libgateway/chooser.cpp
@@ -18,10 +18,10 @@
 
 /// Obstacles, from the one farthest from success to the closest.
 constexpr std::array<ChoiceObstacle, 7> ObstacleOrder = {
-    ChoiceObstacle::None,    ChoiceObstacle::NoEndpoint,
-    ChoiceObstacle::NoModel, ChoiceObstacle::NoAdapter,
-    ChoiceObstacle::Paused,  ChoiceObstacle::Full,
-    ChoiceObstacle::Excluded};
+    ChoiceObstacle::None,     ChoiceObstacle::NoEndpoint,
+    ChoiceObstacle::NoModel,  ChoiceObstacle::NoAdapter,
+    ChoiceObstacle::Excluded, ChoiceObstacle::Paused,
+    ChoiceObstacle::Full};
 
 bool closerToSuccess(ChoiceObstacle A, ChoiceObstacle B) {
   const auto Position = [](ChoiceObstacle O) {
--- a/src/libgateway/chooser_test.cpp
+++ b/src/libgateway/chooser_test.cpp
@@ -66,6 +66,19 @@
   EXPECT_EQ(F.choose(Excluded).m_obstacle, ChoiceObstacle::Excluded);
 }
 
+// Guards against a request that is given up (a stream that is broken off)
+// because it failed at one endpoint while another one was full for a moment.
+TEST(Chooser, RequestThatFailedAtOneEndpointMayWaitForAFullOne) {
+  Fleet F;
+  F.add("e1", "d1");
+  F.add("e2", "d1");
+  ChoiceQuery Query = F.query();
+  Query.m_excluded = {"e1"};
+  while (F.choose(Query).m_obstacle == ChoiceObstacle::None)
+    F.m_table.onSent("e2", Query.m_size);
+  EXPECT_EQ(F.choose(Query).m_obstacle, ChoiceObstacle::Full);
+}
+
 TEST(Chooser, PrefersItsRegionUntilAnotherIsFaster) {
   Fleet F;
   F.add("near", "d1");
