libgateway: a repeated refusal is not taken for the response to the next request

Reported by other operators: a faulty engine wrote an earlier refusal once more on a kept connection. Callers were told "not run, try again" for requests that the engine ran (REFUSED), or such a request ran at a second engine (TWICE). It could happen here: a response without a request id counted as the one to the request that waited, and the responses to orders and reports name no request at all, so a repeated 503 gave an order's place back although the engine carried the order out. Class: a response is matched by its place on the connection.

Now a response without an id counts only on a connection that was not used before; on a used one the outcome is unknown. A connection whose engine names no request isn't used again. Orders and reports have connections of their own, which close after anything but 2xx.

Open: a report that is sent twice counts as the next one.

--- a/src/libgateway/connections.cpp
+++ b/src/libgateway/connections.cpp
@@ -296,7 +296,8 @@
 
 asio::awaitable<Result<HttpClientResponse>>
 callHttp(asio::io_context &Io, ConnectionPool &Pool, std::string Key,
-         std::string Address, std::string Request, CallTimeouts Timeouts) {
+         std::string Address, std::string Request, CallTimeouts Timeouts,
+         ConnectionReuse Reuse) {
   const TimePoint Begin = std::chrono::steady_clock::now();
   const Milliseconds Silence = Timeouts.m_silence;
   Result<ConnectionPtr> Opened =
@@ -331,7 +332,10 @@
             (Step ? std::string("timed out") : Step.error().m_message));
   }
   HttpClientResponse Response{C->m_reader.head(), C->m_reader.takeBody()};
-  Pool.release(C, std::chrono::steady_clock::now());
+  if (Reuse == ConnectionReuse::Always || Response.m_head.isSuccess())
+    Pool.release(C, std::chrono::steady_clock::now());
+  else
+    C->close();
   co_return Response;
 }
 
--- a/src/libgateway/connections.h
+++ b/src/libgateway/connections.h
@@ -124,11 +124,20 @@
   Milliseconds m_total;   ///< Until the response is complete.
 };
 
+/// After which responses of a call its connection is used again.
+enum class ConnectionReuse {
+  Always,
+  /// After 2xx only: a server in trouble may repeat a refusal, which then would
+  /// count as the response to the next call.
+  AfterSuccess
+};
+
 /// Sends one request and reads the complete response. Fails with Unavailable
 /// (not sent) or Timeout (sent, but no complete response arrived in time).
 asio::awaitable<Result<HttpClientResponse>>
 callHttp(asio::io_context &Io, ConnectionPool &Pool, std::string Key,
-         std::string Address, std::string Request, CallTimeouts Timeouts);
+         std::string Address, std::string Request, CallTimeouts Timeouts,
+         ConnectionReuse Reuse = ConnectionReuse::Always);
 
 /// Limits the time of a task's wait on a socket. After disarm() or a later
 /// arm() an earlier limit has no effect, even if its time has already passed.
--- a/src/libgateway/exchange.h
+++ b/src/libgateway/exchange.h
@@ -59,7 +59,10 @@
   void endAttempt(AttemptOutcome Outcome, TimePoint Now);
   void endSilentAttempt(TimePoint Now);
   asio::awaitable<Result<void>> readMore(ConnectionPtr C);
+  bool answersRequest(const ResponseMetadata &Metadata,
+                      const Connection &C) const;
   asio::awaitable<Result<void>> readHead(ConnectionPtr C);
+  void releaseConnection(const ResponseMetadata &Metadata);
   asio::awaitable<AttemptOutcome> readResponse(ConnectionPtr C);
   asio::awaitable<AttemptOutcome> relayEvents(ConnectionPtr C);
   asio::awaitable<bool> write(std::string Bytes);
--- a/src/libgateway/exchangeattempt.cpp
+++ b/src/libgateway/exchangeattempt.cpp
@@ -85,6 +85,14 @@
                              Now + std::max<Duration>(MinAttemptTimeout, Half));
 }
 
+/// Whether the response is to this request. One without a request id is, unless
+/// the connection was used before: it may repeat an earlier response then.
+bool Exchange::answersRequest(const ResponseMetadata &Metadata,
+                              const Connection &C) const {
+  return Metadata.m_requestId == m_requestMetadata.m_id ||
+         (Metadata.m_requestId.empty() && !C.m_reused);
+}
+
 /// Reads the head of the response to this request. Skips interim responses and
 /// late responses to earlier requests on the connection.
 asio::awaitable<Result<void>> Exchange::readHead(ConnectionPtr C) {
@@ -98,9 +106,14 @@
     const ResponseMetadata Metadata = m_core.m_dialect.responseMetadata(Head);
     m_core.onResponse(m_attempt.m_choice.m_endpoint, m_attempt.m_incarnation,
                       Head, clockNow());
-    if (!IsInterim && (Metadata.m_requestId.empty() ||
-                       Metadata.m_requestId == m_requestMetadata.m_id))
+    if (!IsInterim && answersRequest(Metadata, *C))
       co_return boost::outcome_v2::success();
+    if (!IsInterim && Metadata.m_requestId.empty()) {
+      m_core.m_metrics->count("answer_without_id");
+      co_return makeError(ErrorKind::Protocol,
+                          "a response names no request on a connection with "
+                          "earlier ones; use another connection");
+    }
     if (IsInterim && ++Interim > MaxInterimResponses)
       co_return makeError(ErrorKind::Protocol,
                           "too many interim responses; use another endpoint");
@@ -276,6 +289,18 @@
   co_return co_await readAnswer();
 }
 
+/// Returns the connection of a complete response to the pool. One whose engine
+/// names no request is not reused: a repeated response could not be told from
+/// the next one.
+void Exchange::releaseConnection(const ResponseMetadata &Metadata) {
+  const ConnectionPtr C = std::move(m_attempt.m_connection);
+  m_attempt.m_connection = nullptr;
+  if (Metadata.m_requestId.empty())
+    C->close();
+  else
+    m_core.m_pool.release(C, clockNow());
+}
+
 /// Reads a complete response that is not a stream. Forwards it if it reports
 /// success; otherwise the request may still be sent to another endpoint.
 asio::awaitable<AttemptOutcome> Exchange::readResponse(ConnectionPtr C) {
@@ -294,8 +319,7 @@
   const HttpHead Head = C->m_reader.head();
   m_attempt.m_status = Head.m_status;
   const ResponseMetadata Metadata = m_core.m_dialect.responseMetadata(Head);
-  m_core.m_pool.release(C, clockNow());
-  m_attempt.m_connection = nullptr;
+  releaseConnection(Metadata);
   if (Metadata.m_notExecuted || Head.m_status == StatusMisdirected) {
     if (Head.m_status == StatusMisdirected && !Metadata.m_endpoint.empty() &&
         Metadata.m_endpoint != m_attempt.m_choice.m_endpoint)
@@ -404,8 +428,7 @@
       Out += fmt::format("{:x}\r\n", NewEvents.size()) + NewEvents + "\r\n";
     if (Complete) {
       Out += "0\r\n\r\n";
-      m_core.m_pool.release(C, clockNow());
-      m_attempt.m_connection = nullptr;
+      releaseConnection(Metadata);
     }
     if (!Out.empty() && !co_await write(std::move(Out)))
       co_return AttemptOutcome::CallerGone;
--- a/src/libgateway/placementleader.cpp
+++ b/src/libgateway/placementleader.cpp
@@ -13,6 +13,12 @@
 
 namespace {
 
+/// Key of the connections for orders and reports, which no request uses: the
+/// responses to them name no request.
+std::string controlKey(const std::string &Id, const std::string &Address) {
+  return Id + '@' + Address + "/control";
+}
+
 bool isCached(const Endpoint &E, const std::string &Model) {
   const std::vector<std::string> &Names = E.m_record.m_cachedModels;
   return std::find(Names.begin(), Names.end(), Model) != Names.end();
@@ -245,8 +251,8 @@
   const std::string Request = m_core.m_dialect.orderRequest(E->m_record, Order);
   const TimePoint Sent = clockNow();
   Result<HttpClientResponse> Response = co_await callHttp(
-      m_core.m_io, m_core.m_pool, Move.m_engine + '@' + Address, Address,
-      Request, OrderTimeout);
+      m_core.m_io, m_core.m_pool, controlKey(Move.m_engine, Address), Address,
+      Request, OrderTimeout, ConnectionReuse::AfterSuccess);
   OrderResult Outcome = OrderResult::Unknown;
   if (Response) {
     Outcome = m_core.m_dialect.orderResult(Response.value().m_head.m_status);
@@ -280,9 +286,10 @@
   const std::string Address = E->m_record.m_address;
   const std::uint64_t Incarnation = E->m_record.m_incarnation;
   const TimePoint RequestedAt = clockNow();
-  Result<HttpClientResponse> Response = co_await callHttp(
-      m_core.m_io, m_core.m_pool, Id + '@' + Address, Address,
-      m_core.m_dialect.reportRequest(E->m_record), OrderTimeout);
+  Result<HttpClientResponse> Response =
+      co_await callHttp(m_core.m_io, m_core.m_pool, controlKey(Id, Address),
+                        Address, m_core.m_dialect.reportRequest(E->m_record),
+                        OrderTimeout, ConnectionReuse::AfterSuccess);
   if (Response)
     m_core.onResponse(Id, Incarnation, Response.value().m_head, clockNow());
   if (!Response || Response.value().m_head.m_status != 200)
