libgateway: bytes that are no event, and a continuation without an event, do not pass as a stream

But whatever came in the body of a 2xx was forwarded if it ended with an empty line, also the head of a second response after a stream without a length; and a continuation that ended at once completed the stream.

Now each line of an event has to be a field or a comment, and once events have ids one without is refused. A continuation that shows no event shows no end either: the caller's stream is broken off, from where the caller may go on.

Counter stream_event_refused.

--- a/src/libgateway/attempt.h
+++ b/src/libgateway/attempt.h
@@ -75,6 +75,7 @@
   bool m_sent = false;
   std::string m_body;          ///< Of a response that is not a stream.
   EventSplitter m_splitter;    ///< Of a response that is a stream.
+  bool m_eventSeen = false;    ///< New or sent to the caller before.
   bool m_prefillDone = false;  ///< Its first event arrived.
   TimePoint m_firstEventsAt{}; ///< When its first events arrived.
   unsigned m_eventBatches = 0; ///< Reads with events.
--- a/src/libgateway/events.cpp
+++ b/src/libgateway/events.cpp
@@ -1,6 +1,8 @@
 // Finds the boundaries and ids of server-sent events.
 #include "libgateway/events.h"
 
+#include <algorithm>
+#include <cctype>
 #include <charconv>
 
 namespace primroseworks::gateway {
@@ -24,27 +26,41 @@
   }
 }
 
-/// Numeric id of the event; nothing if it has none.
-std::optional<std::uint64_t> eventId(std::string_view Event) {
+/// Calls Visit with each line of the event, without its line end.
+template <class Visitor>
+void visitLines(std::string_view Event, Visitor Visit) {
   std::size_t LineStart = 0;
   while (LineStart < Event.size()) {
-    std::size_t End = Event.find('\n', LineStart);
-    if (End == std::string_view::npos)
-      End = Event.size();
+    const std::size_t End = std::min(Event.find('\n', LineStart), Event.size());
     std::string_view Line = Event.substr(LineStart, End - LineStart);
     LineStart = End + 1;
-    if (Line.substr(0, 3) != "id:")
-      continue;
-    Line.remove_prefix(3);
-    while (!Line.empty() && Line.front() == ' ')
-      Line.remove_prefix(1);
-    std::uint64_t Id = 0;
-    const auto [Rest, Error] =
-        std::from_chars(Line.data(), Line.data() + Line.size(), Id);
-    if (Error == std::errc())
-      return Id;
+    if (!Line.empty() && Line.back() == '\r')
+      Line.remove_suffix(1);
+    Visit(Line);
   }
-  return std::nullopt;
+}
+
+/// Whether the line is a field: a name of letters, digits and hyphens, which a
+/// colon and a value may follow.
+bool isField(std::string_view Line) {
+  const std::string_view Name = Line.substr(0, Line.find(':'));
+  return !Name.empty() &&
+         std::all_of(Name.begin(), Name.end(), [](unsigned char C) {
+           return std::isalnum(C) != 0 || C == '-' || C == '_';
+         });
+}
+
+/// Number in the line if it is a field "id" with a number.
+std::optional<std::uint64_t> eventId(std::string_view Line) {
+  if (Line.substr(0, 3) != "id:")
+    return std::nullopt;
+  Line.remove_prefix(3);
+  while (!Line.empty() && Line.front() == ' ')
+    Line.remove_prefix(1);
+  std::uint64_t Id = 0;
+  const auto [Rest, Error] =
+      std::from_chars(Line.data(), Line.data() + Line.size(), Id);
+  return Error == std::errc() ? std::optional(Id) : std::nullopt;
 }
 
 } // namespace
@@ -55,7 +71,15 @@
     return std::nullopt;
   StreamEvent Event;
   Event.m_bytes = m_pending.substr(0, Size);
-  Event.m_id = eventId(Event.m_bytes);
+  Event.m_wellFormed = true;
+  visitLines(Event.m_bytes, [&Event](std::string_view Line) {
+    if (Line.empty() || Line.front() == ':')
+      return;
+    Event.m_hasFields = true;
+    Event.m_wellFormed = Event.m_wellFormed && isField(Line);
+    if (!Event.m_id)
+      Event.m_id = eventId(Line);
+  });
   m_pending.erase(0, Size);
   return Event;
 }
--- a/src/libgateway/events.h
+++ b/src/libgateway/events.h
@@ -13,6 +13,10 @@
 struct StreamEvent {
   std::string m_bytes;
   std::optional<std::uint64_t> m_id;
+  /// Whether every line is a field or a comment. The head of an HTTP message or
+  /// an error in JSON is not.
+  bool m_wellFormed = false;
+  bool m_hasFields = false; ///< It has more than comments.
 };
 
 class EventSplitter {
--- a/src/libgateway/events_test.cpp
+++ b/src/libgateway/events_test.cpp
@@ -23,6 +23,26 @@
   EXPECT_EQ(Splitter.pending(), 0U);
 }
 
+// Guards against an error of an engine in the middle of a caller's stream.
+TEST(EventSplitter, TextThatIsNoEventIsNotWellFormed) {
+  for (const char *Text :
+       {"HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n",
+        "{\"error\":\"engine failed\"}\n\n", "upstream failed\n\n",
+        "id: 3\n<html>\n\n"}) {
+    EventSplitter Splitter;
+    Splitter.add(Text);
+    EXPECT_FALSE(Splitter.next()->m_wellFormed) << Text;
+  }
+  for (const char *Text :
+       {"id: 3\ndata: {\"error\":1}\n\n", ": comment\n\n", "data\n\n",
+        "x-primroseworks-weight-versions: 4\nid: 9\ndata: x\n\n",
+        "event: a\r\ndata: HTTP/1.1 503 Busy\r\n\r\n", "\n"}) {
+    EventSplitter Splitter;
+    Splitter.add(Text);
+    EXPECT_TRUE(Splitter.next()->m_wellFormed) << Text;
+  }
+}
+
 TEST(EventSplitter, EventsMayHaveNoId) {
   EventSplitter Splitter;
   Splitter.add("data: x\n\nid:abc\n\n");
--- a/src/libgateway/exchangeattempt.cpp
+++ b/src/libgateway/exchangeattempt.cpp
@@ -387,14 +387,22 @@
   for (;;) {
     Splitter.add(C->m_reader.takeBody());
     std::string NewEvents;
-    bool EventMissing = false;
+    bool Invalid = false; // An event is missing, or bytes are no event.
     while (std::optional<StreamEvent> Event = Splitter.next()) {
+      // Once events have ids, one without an id is no event of this stream.
+      if (!Event->m_wellFormed ||
+          (Event->m_hasFields && !Event->m_id && m_lastEventId)) {
+        m_core.m_metrics->count("stream_event_refused");
+        Invalid = true;
+        break;
+      }
+      m_attempt.m_eventSeen = m_attempt.m_eventSeen || Event->m_hasFields;
       if (Event->m_id) {
         if (m_lastEventId && *Event->m_id <= *m_lastEventId)
           continue; // Already sent to the caller.
         if (m_lastEventId && *Event->m_id != *m_lastEventId + 1) {
           m_core.m_metrics->count("stream_gap_refused");
-          EventMissing = true;
+          Invalid = true;
           break;
         }
         m_lastEventId = Event->m_id;
@@ -414,8 +422,11 @@
     }
     // Complete events are forwarded even if the stream is truncated after them:
     // they count as sent, and another endpoint continues after the last one.
-    const bool Truncated = EventMissing || Splitter.pending() > MaxEventBytes ||
-                           (C->m_reader.complete() && Splitter.pending() > 0);
+    // A continuation without an event shows no end of the stream.
+    const bool Empty = m_committed && !m_attempt.m_eventSeen;
+    const bool Truncated =
+        Invalid || Splitter.pending() > MaxEventBytes ||
+        (C->m_reader.complete() && (Splitter.pending() > 0 || Empty));
     const bool Complete = C->m_reader.complete() && !Truncated;
     std::string Out;
     if ((!NewEvents.empty() || Complete) && !m_committed) {
