platform, libgateway: odd documents and datagrams of other writers are refused one by one

Reported by other operators: another writer left one odd entry among those of the engines, nested deeply, with a number too large or a port out of range, and the machines that read the list ended again and again. It could happen here: nlohmann/json copies values with one recursion a level, and the decoders copy members ("at-hand", "models"), so one record with an array nested 200,000 deep ended each gateway that read the list (SIGSEGV). Numbers were converted unchecked, which is undefined for those that don't fit and differs between x86-64 and arm64; ports were read by strtol, so "80x" and a port over its range passed into the table. Class: input is trusted to have the shape that our own writers give it.

--- a/src/libbase/limitedjson.cpp
+++ b/src/libbase/limitedjson.cpp
@@ -1,6 +1,8 @@
 // Documents from outside, read with a bound on their nesting.
 #include "libbase/limitedjson.h"
 
+#include <algorithm>
+
 namespace primroseworks::pvt {
 
 namespace {
@@ -38,6 +40,12 @@
   std::size_t m_depth = 0;
 };
 
+bool containsFraction(const Json &Value) {
+  if (Value.is_structured())
+    return std::any_of(Value.begin(), Value.end(), containsFraction);
+  return Value.is_number_float();
+}
+
 } // namespace
 
 Json parseLimited(std::string_view Bytes, std::size_t MaxNesting,
@@ -49,4 +57,12 @@
   return Parsed;
 }
 
+Json parseMessage(std::string_view Bytes) {
+  Json Message =
+      parseLimited(Bytes, MaxMessageNesting, Json::input_format_t::cbor);
+  if (Message.is_discarded() || containsFraction(Message))
+    return Json::value_t::discarded;
+  return Message;
+}
+
 } // namespace primroseworks::pvt
--- a/src/libbase/limitedjson.h
+++ b/src/libbase/limitedjson.h
@@ -18,6 +18,14 @@
                             nlohmann::json::input_format_t Format =
                                 nlohmann::json::input_format_t::json);
 
+/// Deepest nesting of a message between processes of this project.
+inline constexpr std::size_t MaxMessageNesting = 8;
+
+/// Parses a CBOR message of another process of this project, whose numbers are
+/// integers; a discarded value if it is malformed, nested deeper than
+/// MaxMessageNesting or contains another number.
+nlohmann::json parseMessage(std::string_view Bytes);
+
 } // namespace primroseworks::pvt
 
 #endif
--- a/src/libgateway/connections.cpp
+++ b/src/libgateway/connections.cpp
@@ -4,6 +4,7 @@
 #include <asio/redirect_error.hpp>
 #include <asio/use_awaitable.hpp>
 #include <asio/write.hpp>
+#include <charconv>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <sys/socket.h>
@@ -44,13 +45,18 @@
   std::error_code Ec;
   const auto Ip = asio::ip::make_address(
       Colon == std::string::npos ? Text : Text.substr(0, Colon), Ec);
-  const long Port = Colon == std::string::npos
-                        ? 0
-                        : std::strtol(Text.c_str() + Colon + 1, nullptr, 10);
-  if (Ec || Port <= 0 || Port > 65535)
+  unsigned short Port = 0;
+  if (Colon != std::string::npos) {
+    const char *End = Text.data() + Text.size();
+    const auto [Rest, Error] =
+        std::from_chars(Text.data() + Colon + 1, End, Port);
+    if (Error != std::errc() || Rest != End)
+      Port = 0;
+  }
+  if (Ec || Port == 0)
     return makeError(ErrorKind::InvalidArgument,
                      "'" + Text + "' is not a valid address; write IP:PORT");
-  return asio::ip::tcp::endpoint(Ip, static_cast<unsigned short>(Port));
+  return asio::ip::tcp::endpoint(Ip, Port);
 }
 
 void prepareSocket(asio::ip::tcp::socket &Socket, Milliseconds SilenceTimeout) {
--- a/src/libgateway/gateway.cpp
+++ b/src/libgateway/gateway.cpp
@@ -1,6 +1,7 @@
 // The coroutines of a gateway process: lease and leadership, reports,
 // maintenance, signals and shutdown.
 #include "libgateway/gateway.h"
+#include "libbase/limitedjson.h"
 #include "libgateway/log.h"
 #include "primroseworks/version.h"
 
@@ -24,7 +25,7 @@
 }
 
 Result<Member> decodeMember(const std::string &Text) {
-  const nlohmann::json J = nlohmann::json::parse(Text, nullptr, false);
+  const nlohmann::json J = pvt::parseLimited(Text);
   std::error_code Ec;
   if (J.is_object() && J.value("name", nlohmann::json()).is_string() &&
       J.value("address", nlohmann::json()).is_string() &&
--- a/src/libgateway/peerreport.cpp
+++ b/src/libgateway/peerreport.cpp
@@ -1,5 +1,6 @@
 // CBOR encoding of the reports between gateways.
 #include "libgateway/peerreport.h"
+#include "libbase/limitedjson.h"
 
 #include <nlohmann/json.hpp>
 
@@ -137,8 +138,7 @@
 
 Result<PeerReport> decodePeerReport(const std::string &Bytes) {
   try {
-    const Json Document = Json::from_cbor(Bytes);
-    return decode(Document);
+    return decode(pvt::parseMessage(Bytes));
   } catch (const Json::exception &E) {
     return makeError(ErrorKind::Protocol,
                      std::string("peer datagram is not a valid report: ") +
--- a/src/libgateway/schedulingmessage.cpp
+++ b/src/libgateway/schedulingmessage.cpp
@@ -1,7 +1,9 @@
 // CBOR encoding of the scheduling messages: an array that starts with the kind
 // of message, while a peer report is a map.
 #include "libgateway/schedulingmessage.h"
+#include "libbase/limitedjson.h"
 
+#include <algorithm>
 #include <cmath>
 #include <nlohmann/json.hpp>
 #include <stdexcept>
@@ -39,6 +41,14 @@
   return static_cast<Enum>(Number);
 }
 
+/// Longest time in a message; a longer one is reduced to it.
+constexpr std::int64_t MaxMessageMs = 86'400'000;
+
+Milliseconds decodeTime(const Json &Value) {
+  return Milliseconds(
+      std::clamp(Value.get<std::int64_t>(), -MaxMessageMs, MaxMessageMs));
+}
+
 GatewayInstance decodeInstance(const Json &Name, const Json &Start) {
   return {Name.get<std::string>(), Start.get<std::uint64_t>()};
 }
@@ -69,8 +79,8 @@
   In.at(12).get_to(Q.m_excluded);
   In.at(13).get_to(Q.m_mayRevisit);
   In.at(14).get_to(Q.m_mayProbe);
-  R.m_onTime = Milliseconds(In.at(15).get<std::int64_t>());
-  R.m_maxWait = Milliseconds(In.at(16).get<std::int64_t>());
+  R.m_onTime = decodeTime(In.at(15));
+  R.m_maxWait = decodeTime(In.at(16));
   return R;
 }
 
@@ -95,7 +105,7 @@
   In.at(8).get_to(R.m_choice.m_pendingPrefillTokens);
   In.at(9).get_to(R.m_choice.m_load);
   In.at(10).get_to(R.m_choice.m_candidates);
-  R.m_expectedWait = Milliseconds(In.at(11).get<std::int64_t>());
+  R.m_expectedWait = decodeTime(In.at(11));
   return R;
 }
 
@@ -128,7 +138,7 @@
   if (In.size() <= 12)
     return U; // From a gateway that does not read such notices.
   In.at(12).get_to(O.m_leaving);
-  O.m_pause = Milliseconds(In.at(13).get<std::int64_t>());
+  O.m_pause = decodeTime(In.at(13));
   In.at(14).get_to(O.m_incarnation);
   return U;
 }
@@ -203,7 +213,7 @@
 
 Result<SchedulingMessage> decodeSchedulingMessage(const std::string &Bytes) {
   try {
-    return decode(Json::from_cbor(Bytes));
+    return decode(pvt::parseMessage(Bytes));
   } catch (const std::exception &E) {
     return makeError(ErrorKind::Protocol,
                      std::string("datagram is not a scheduling message: ") +
