libgateway: the time limit of an attempt ends with its response

Cause: readResponse() and relayEvents() give the connection back, so that m_attempt.m_connection is null, and then write to the caller. With a caller that reads slowly the write lasts. The attempt's timer was still armed: at the time limit onAttemptTimeout() used the null connection. Class: a timer whose operation has ended, and something given up (the connection) while it is still in use. The fix disarms the timer where the connection is given back, which both paths use; a write to a caller has its own limit (CallerUnresponsiveTimeout).

--- a/src/libgateway/exchangeattempt.cpp
+++ b/src/libgateway/exchangeattempt.cpp
@@ -291,8 +291,9 @@
 
 /// Returns the connection of a complete response to the pool. One whose engine
 /// names no request is not reused: a repeated response could not be told from
-/// the next one.
+/// the next one. The attempt has no time limit any more.
 void Exchange::releaseConnection(const ResponseMetadata &Metadata) {
+  m_attemptTimer.disarm();
   const ConnectionPtr C = std::move(m_attempt.m_connection);
   m_attempt.m_connection = nullptr;
   if (Metadata.m_requestId.empty())
