--- a/src/libgateway/exchange.h
+++ b/src/libgateway/exchange.h
@@ -73,6 +73,8 @@
   asio::awaitable<bool> fail(std::string Reason);
 
   void initFromRequest(TimePoint Now);
+  std::string takeEvents(bool &Invalid);
+  void recordEvents(TimePoint Now);
   void recordFirstEvent();
   void recordEventGap(TimePoint Now);
   std::string serializeRequest(TimePoint Now) const;
--- a/src/libgateway/exchangeattempt.cpp
+++ b/src/libgateway/exchangeattempt.cpp
@@ -374,6 +374,48 @@
   m_core.m_endpoints.onStallSample(m_attempt.m_choice.m_endpoint, true);
 }
 
+/// Returns the complete events that the caller does not have yet. Invalid is
+/// set if one is missing before the rest, or if the rest is no event.
+std::string Exchange::takeEvents(bool &Invalid) {
+  std::string NewEvents;
+  while (std::optional<StreamEvent> Event = m_attempt.m_splitter.next()) {
+    // Once events have ids, one without an id is no event of this stream.
+    if (!Event->m_wellFormed ||
+        (Event->m_hasFields && !Event->m_id && m_lastEventId)) {
+      m_core.m_metrics->count("stream_event_refused");
+      Invalid = true;
+      break;
+    }
+    m_attempt.m_eventSeen = m_attempt.m_eventSeen || Event->m_hasFields;
+    if (Event->m_id) {
+      if (m_lastEventId && *Event->m_id <= *m_lastEventId)
+        continue; // Already sent to the caller.
+      if (m_lastEventId && *Event->m_id != *m_lastEventId + 1) {
+        m_core.m_metrics->count("stream_gap_refused");
+        Invalid = true;
+        break;
+      }
+      m_lastEventId = Event->m_id;
+    }
+    NewEvents += Event->m_bytes;
+  }
+  return NewEvents;
+}
+
+/// Records that new events arrived. The endpoint is not silent any more, and
+/// one that was left for it is not needed.
+void Exchange::recordEvents(TimePoint Now) {
+  m_failover.reset();
+  endSilentAttempt(Now);
+  if (!m_attempt.m_prefillDone)
+    recordFirstEvent();
+  else
+    recordEventGap(Now);
+  m_lastEventsAt = Now;
+  if (m_attempt.m_eventBatches++ == 0)
+    m_attempt.m_firstEventsAt = Now;
+}
+
 /// Forwards complete events to the caller as they arrive. The response head is
 /// sent with the first event, so that the request can fail over to another
 /// endpoint until then.
@@ -387,40 +429,10 @@
       m_route->m_resumable && attemptsThatMayHaveRun() < m_route->m_maxAttempts;
   for (;;) {
     Splitter.add(C->m_reader.takeBody());
-    std::string NewEvents;
-    bool Invalid = false; // An event is missing, or bytes are no event.
-    while (std::optional<StreamEvent> Event = Splitter.next()) {
-      // Once events have ids, one without an id is no event of this stream.
-      if (!Event->m_wellFormed ||
-          (Event->m_hasFields && !Event->m_id && m_lastEventId)) {
-        m_core.m_metrics->count("stream_event_refused");
-        Invalid = true;
-        break;
-      }
-      m_attempt.m_eventSeen = m_attempt.m_eventSeen || Event->m_hasFields;
-      if (Event->m_id) {
-        if (m_lastEventId && *Event->m_id <= *m_lastEventId)
-          continue; // Already sent to the caller.
-        if (m_lastEventId && *Event->m_id != *m_lastEventId + 1) {
-          m_core.m_metrics->count("stream_gap_refused");
-          Invalid = true;
-          break;
-        }
-        m_lastEventId = Event->m_id;
-      }
-      NewEvents += Event->m_bytes;
-    }
-    if (!NewEvents.empty()) {
-      m_failover.reset();
-      endSilentAttempt(clockNow());
-      if (!m_attempt.m_prefillDone)
-        recordFirstEvent();
-      else
-        recordEventGap(clockNow());
-      m_lastEventsAt = clockNow();
-      if (m_attempt.m_eventBatches++ == 0)
-        m_attempt.m_firstEventsAt = m_lastEventsAt;
-    }
+    bool Invalid = false;
+    const std::string NewEvents = takeEvents(Invalid);
+    if (!NewEvents.empty())
+      recordEvents(clockNow());
     // Complete events are forwarded even if the stream is truncated after them:
     // they count as sent, and another endpoint continues after the last one.
     // A continuation without an event shows no end of the stream.
