libgateway: a silent attempt is not left while no other endpoint has the request

Callers saw a stream that was broken off (LOST) although its endpoint went on after a pause. Cause: the timer that ends the silent attempt is armed when a second endpoint gets the request. If that one refuses within 300 ms, the timer stayed armed while a third one was being connected to, and ended the silent attempt although no endpoint had the request. Class: what one has is given up before its replacement is there; a timer that outlives its reason. Evidence: SilentWithOthers.GoesOnAfterARefusalAndAnUnreachableEndpoint (second endpoint refuses after 200 ms, the third does not complete the handshake). The fix disarms the timer when an attempt ends; sending the request to the next endpoint arms it again.

--- a/src/libgateway/exchange.h
+++ b/src/libgateway/exchange.h
@@ -114,6 +114,7 @@
   /// An attempt that is silent while the request is tried at another endpoint.
   /// It goes on if that endpoint does not take the request.
   std::optional<Attempt> m_silentAttempt;
+  /// Armed while the endpoint tried next has the request.
   Watchdog m_silentAttemptTimer;
   std::unique_ptr<FailoverProbe> m_failover; ///< While the endpoint is silent.
   /// Expected wait for an endpoint when the request was last rejected.
--- a/src/libgateway/exchangeattempt.cpp
+++ b/src/libgateway/exchangeattempt.cpp
@@ -246,6 +246,7 @@
 /// Releases the endpoint of the current attempt, or sets the attempt aside.
 void Exchange::endAttempt(AttemptOutcome Outcome, TimePoint Now) {
   recordAttempt(Outcome, Now);
+  m_silentAttemptTimer.disarm();
   m_expectedWait = m_attempt.m_observation.m_pause;
   if (Outcome == AttemptOutcome::Delivered)
     m_failover.reset();
