libgateway: a notice holds although an older list names an earlier incarnation of the endpoint

What callers saw: nothing yet; requests went to an engine that had said that it is leaving (DRAIN) or wants none (BUDGET). Cause: a notice counted only for exactly its incarnation. An older list or record of the earlier incarnation made the table look for notices of that one, but a request to it has the same id and address and reaches the present process. Class of fault: state of the store that is older than what the VM knows replaces it. Before the fix: EndpointNoticeInTable.HoldsWhenAnOlderListNamesAnEarlierIncarnation: T.maySend("e1", Start) Actual: true, Expected: false; 13 of 14 tests of EndpointNotice* passed. Now all 14 pass. A notice now counts for its incarnation and earlier ones; a later one still inherits nothing.

--- a/src/libgateway/endpointnotice.cpp
+++ b/src/libgateway/endpointnotice.cpp
@@ -61,7 +61,7 @@
 EndpointNotice EndpointNotices::find(const std::string &Id,
                                      std::uint64_t Incarnation) const {
   const auto It = m_notices.find(Id);
-  if (It == m_notices.end() || It->second.m_incarnation != Incarnation)
+  if (It == m_notices.end() || It->second.m_incarnation < Incarnation)
     return EndpointNotice();
   return It->second;
 }
--- a/src/libgateway/endpointnotice.h
+++ b/src/libgateway/endpointnotice.h
@@ -53,7 +53,8 @@
   /// Adds what Notice says. Returns false if that was known or if it is about
   /// an earlier incarnation.
   bool add(const std::string &Id, const EndpointNotice &Notice);
-  /// What this incarnation has said; an empty notice if nothing.
+  /// What this incarnation or a later one has said; an empty notice if nothing.
+  /// A request to an earlier incarnation reaches the present one.
   EndpointNotice find(const std::string &Id, std::uint64_t Incarnation) const;
   /// Forgets old notices of endpoints that are not registered.
   void expire(const std::function<bool(const std::string &)> &IsRegistered,
