libgateway: no request goes to the address of an endpoint's earlier incarnation

What callers saw: nothing yet; a request could reach an engine that had said that it is leaving (DRAIN). Cause: the look right before sending asks about the present incarnation. If that one registered at another address while the connection was opened, the connection still led to the earlier one. Class of fault: a check of one thing (the record of now) before the use of another (a connection of the record of then). Before the fix: MovedEndpoint.RequestIsNotSentToTheAddressOfTheEarlierIncarnation: R.m_responses[0].m_body Which is: "old", expected "new"; New.m_requests.size() 0, expected 1. Now it passes. The attempt ends as not_sent if the address has changed; the request is placed again and uses none of its attempts.

--- a/src/libgateway/exchangeattempt.cpp
+++ b/src/libgateway/exchangeattempt.cpp
@@ -185,7 +185,9 @@
     C->close();
     co_return AttemptOutcome::NotConnected;
   }
-  if (!m_core.m_endpoints.maySend(m_attempt.m_choice.m_endpoint, Now)) {
+  // The connection leads to an earlier incarnation if the address has changed.
+  if (E->m_record.m_address != Address ||
+      !m_core.m_endpoints.maySend(m_attempt.m_choice.m_endpoint, Now)) {
     m_core.m_pool.releaseUnused(C, Now);
     co_return AttemptOutcome::NotSent;
   }
