libgateway: a notice reaches the coordinator with the incarnation that it is about

What callers saw: nothing yet; a coordinator went on granting an engine that is leaving or wants no requests (DRAIN, BUDGET). Cause: the observation named the incarnation of this VM's record, which may be older than the one that the notice is about; the coordinator, with the newer record, ignored the notice as one of an earlier process. Class of fault: two values taken from different sources are sent as one fact. Before the fix: RefusedGrant.NamesTheIncarnationOfTheNotice: m_observation.m_incarnation Which is: 0, expected 5. Now the 3 tests of RefusedGrant pass; the two others, of a grant that the VM's own knowledge forbids (returned at once with the notice, no attempt used) and of a notice in a response, passed before too.

--- a/src/libgateway/exchangeattempt.cpp
+++ b/src/libgateway/exchangeattempt.cpp
@@ -478,7 +478,7 @@
   O.m_pause =
       std::max(Milliseconds::zero(), std::chrono::duration_cast<Milliseconds>(
                                          E->m_notice.m_pausedUntil - Now));
-  O.m_incarnation = E->m_record.m_incarnation;
+  O.m_incarnation = E->m_notice.m_incarnation;
 }
 
 /// Updates the health of the endpoint and the crash suspects with the outcome
