--- a/src/libgateway/scheduler_test.cpp
+++ b/src/libgateway/scheduler_test.cpp
@@ -484,3 +484,45 @@
   F.deliver();
   EXPECT_EQ(F.loadAt(Name), Slots - 1);
 }
+
+// Guards against grants for an endpoint that another gateway heard is leaving
+// (DRAIN): the coordinator hears of it in that gateway's observation.
+TEST(Scheduler, NothingIsGrantedAtAnEndpointThatToldAGatewayThatItLeaves) {
+  Fleet F(20);
+  Caller Told;
+  F.ask(5, Told);
+  ASSERT_TRUE(Told.m_granted);
+  const std::string Name = Told.m_ticket.m_coordinator;
+  Core &Coordinator = *F.node(Name == "vm-0" ? 0 : 1).m_core;
+  AttemptObservation Leaving;
+  Leaving.m_health = AttemptHealth::Good;
+  Leaving.m_leaving = true;
+  Leaving.m_incarnation =
+      Coordinator.m_endpoints.find("e1")->m_record.m_incarnation;
+  F.finish(5, Told, Leaving);
+  EXPECT_FALSE(Coordinator.m_endpoints.maySend("e1", F.m_now));
+  Caller Next;
+  F.ask(6, Next);
+  F.advance(Milliseconds(400));
+  EXPECT_FALSE(Next.m_granted);
+}
+
+// Guards against requests that were queued before the notice and are granted
+// after it.
+TEST(Scheduler, QueuedRequestsAreNotGrantedAtAPausedEndpoint) {
+  Fleet F(20);
+  std::vector<Caller> Running(Slots);
+  for (unsigned I = 0; I < Slots; ++I)
+    F.ask(I + 2, Running[I]);
+  Caller Queued;
+  F.ask(16, Queued);
+  ASSERT_FALSE(Queued.m_granted);
+  AttemptObservation Paused;
+  Paused.m_health = AttemptHealth::Refused;
+  Paused.m_pause = Milliseconds(800);
+  F.finish(2, Running[0], Paused);
+  F.advance(Milliseconds(700));
+  EXPECT_FALSE(Queued.m_granted);
+  F.advance(Milliseconds(200));
+  EXPECT_TRUE(Queued.m_granted) << "the pause is over";
+}
