--- a/src/libgateway/exchangeattempt.cpp
+++ b/src/libgateway/exchangeattempt.cpp
@@ -185,7 +185,9 @@
     C->close();
     co_return AttemptOutcome::NotConnected;
   }
-  if (!m_core.m_endpoints.maySend(m_attempt.m_choice.m_endpoint, Now)) {
+  // The connection leads to an earlier incarnation if the address has changed.
+  if (E->m_record.m_address != Address ||
+      !m_core.m_endpoints.maySend(m_attempt.m_choice.m_endpoint, Now)) {
     m_core.m_pool.releaseUnused(C, Now);
     co_return AttemptOutcome::NotSent;
   }
@@ -490,7 +492,7 @@
   O.m_pause =
       std::max(Milliseconds::zero(), std::chrono::duration_cast<Milliseconds>(
                                          E->m_notice.m_pausedUntil - Now));
-  O.m_incarnation = E->m_record.m_incarnation;
+  O.m_incarnation = E->m_notice.m_incarnation;
 }
 
 /// Updates the health of the endpoint and the crash suspects with the outcome
