libgateway: counts and observed times of datagrams are checked

A peer report with a negative or too large count passed: a load of -1 became 2^64 - 1 tokens (the endpoint looks full while the report lives),  requests became 0, and a negative demand reduced the leader's sum. Observed times of a scheduled attempt were not limited, unlike the waits: 9e17 ms overflows the conversion to a duration. Class: input is trusted to have the shape that our own writers give it.

Under UndefinedBehaviorSanitizer a report with a demand of -6, encoded again, printed "peerreport.cpp:63:57: runtime error: -6 is outside the range of representable values of type 'unsigned int'".

--- a/src/libgateway/peerreport.cpp
+++ b/src/libgateway/peerreport.cpp
@@ -1,5 +1,6 @@
 // CBOR encoding of the reports between gateways.
 #include "libgateway/peerreport.h"
+#include "libbase/jsonnumber.h"
 #include "libbase/limitedjson.h"
 
 #include <nlohmann/json.hpp>
@@ -10,6 +11,16 @@
 
 using Json = nlohmann::json;
 
+unsigned decodeCount(const Json &Value) {
+  return pvt::unsignedNumber<unsigned>(Value);
+}
+
+double decodeAmount(const Json &Value) { return decodeCount(Value); }
+
+std::uint64_t decodeNumber(const Json &Value) {
+  return pvt::unsignedNumber<std::uint64_t>(Value);
+}
+
 Json encodeHeld(const std::vector<HeldModel> &Held) {
   Json Out = Json::array();
   for (const HeldModel &M : Held)
@@ -22,7 +33,7 @@
   for (const Json &Row : Rows) {
     HeldModel M;
     Row.at(0).get_to(M.m_name);
-    Row.at(1).get_to(M.m_version);
+    M.m_version = decodeNumber(Row.at(1));
     Row.at(2).get_to(M.m_adapters);
     Out.push_back(std::move(M));
   }
@@ -42,8 +53,8 @@
   std::vector<PeerEndpointLoad> Out;
   for (const Json &Row : Rows)
     Out.push_back({Row.at(0).get<std::string>(),
-                   {Row.at(1).get<unsigned>(), Row.at(2).get<std::uint64_t>(),
-                    Row.at(3).get<std::uint64_t>()}});
+                   {decodeCount(Row.at(1)), decodeNumber(Row.at(2)),
+                    decodeNumber(Row.at(3))}});
   return Out;
 }
 
@@ -92,30 +103,29 @@
 PeerReport decode(const Json &In) {
   PeerReport R;
   In.at("n").get_to(R.m_sender);
-  In.at("t").get_to(R.m_start);
-  In.at("s").get_to(R.m_sequence);
+  R.m_start = decodeNumber(In.at("t"));
+  R.m_sequence = decodeNumber(In.at("s"));
   R.m_loads = decodeLoads(In.at("l"));
-  R.m_leaderToken = In.value("k", std::uint64_t{0});
+  R.m_leaderToken = pvt::unsignedMember(In, "k", std::uint64_t{0});
   R.m_partial = In.value("p", false);
   R.m_fleetLoads = decodeLoads(In.value("f", Json::array()));
   for (const Json &Row : In.value("d", Json::array()))
     R.m_demands.push_back({Row.at(0).get<std::string>(),
-                           {Row.at(1).get<double>(), Row.at(2).get<double>(),
-                            Row.at(3).get<double>() / 100}});
+                           {decodeAmount(Row.at(1)), decodeAmount(Row.at(2)),
+                            decodeAmount(Row.at(3)) / 100}});
   for (const Json &Row : In.value("w", Json::array()))
     R.m_wantedAdapters.push_back(
         {{Row.at(0).get<std::string>(), Row.at(1).get<std::string>()},
-         Row.at(2).get<unsigned>()});
+         decodeCount(Row.at(2))});
   for (const Json &Row : In.value("u", Json::array()))
     R.m_usedAdapters.emplace_back(Row.at(0).get<std::string>(),
                                   Row.at(1).get<std::string>());
   for (const Json &Row : In.value("h", Json::array()))
-    R.m_holdings.push_back(
-        {Row.at(0).get<std::string>(), Row.at(1).get<std::uint64_t>(),
-         Row.at(2).get<std::uint64_t>(), decodeHeld(Row.at(3))});
+    R.m_holdings.push_back({Row.at(0).get<std::string>(),
+                            decodeNumber(Row.at(1)), decodeNumber(Row.at(2)),
+                            decodeHeld(Row.at(3))});
   for (const Json &Row : In.value("x", Json::array()))
-    R.m_strikes.push_back(
-        {Row.at(0).get<std::uint64_t>(), Row.at(1).get<std::uint64_t>()});
+    R.m_strikes.push_back({decodeNumber(Row.at(0)), decodeNumber(Row.at(1))});
   return R;
 }
 
@@ -139,7 +149,7 @@
 Result<PeerReport> decodePeerReport(const std::string &Bytes) {
   try {
     return decode(pvt::parseMessage(Bytes));
-  } catch (const Json::exception &E) {
+  } catch (const std::exception &E) {
     return makeError(ErrorKind::Protocol,
                      std::string("peer datagram is not a valid report: ") +
                          E.what() +
--- a/src/libgateway/schedulingmessage.cpp
+++ b/src/libgateway/schedulingmessage.cpp
@@ -24,9 +24,6 @@
 constexpr double TenthsPerMs = 10;
 
 long long tenths(double Ms) { return std::llround(Ms * TenthsPerMs); }
-double fromTenths(const Json &Value) {
-  return Value.get<double>() / TenthsPerMs;
-}
 
 template <class Enum> Json encodeEnum(Enum Value) {
   return static_cast<unsigned>(Value);
@@ -49,6 +46,11 @@
       std::clamp(Value.get<std::int64_t>(), -MaxMessageMs, MaxMessageMs));
 }
 
+double fromTenths(const Json &Value) {
+  constexpr auto Max = static_cast<double>(MaxMessageMs);
+  return std::clamp(Value.get<double>() / TenthsPerMs, -Max, Max);
+}
+
 GatewayInstance decodeInstance(const Json &Name, const Json &Start) {
   return {Name.get<std::string>(), Start.get<std::uint64_t>()};
 }
