libgateway: a connection whose engine states a huge idle time is reused

With "Keep-Alive: timeout=" the conversion to nanoseconds overflowed, the idle limit came out below zero, and the gateway opened a connection for each request. Class: a time from outside is used without a bound.

Evidence: GatewayPath.ConnectionWithAHugeIdleTimeIsReused failed ("m_core->m_pool.opened() Which is: 3, 1U") and passes now.

--- a/src/libgateway/connections.cpp
+++ b/src/libgateway/connections.cpp
@@ -1,6 +1,7 @@
 // Implementation of outgoing HTTP connections.
 #include "libgateway/connections.h"
 
+#include <algorithm>
 #include <asio/redirect_error.hpp>
 #include <asio/use_awaitable.hpp>
 #include <asio/write.hpp>
@@ -27,6 +28,9 @@
   (void)setsockopt(Socket, Level, Name, &Value, sizeof(Value));
 }
 
+/// Longest idle time that a peer's header is read as.
+constexpr long MaxIdleSeconds = 86'400;
+
 Duration idleLimitOf(const HttpHead &Head) {
   const std::string *Value = Head.find("keep-alive");
   if (!Value)
@@ -35,7 +39,8 @@
   if (At == std::string::npos)
     return Connection::DefaultIdleLimit;
   const long Whole = std::strtol(Value->c_str() + At + 8, nullptr, 10);
-  return Whole > 0 ? Duration(Seconds(Whole)) : Duration(Milliseconds(500));
+  return Whole > 0 ? Duration(Seconds(std::min(Whole, MaxIdleSeconds)))
+                   : Duration(Milliseconds(500));
 }
 
 } // namespace
