libgateway: a negative load rate in the configuration leaves no debt

With a negative "loads-per-s" the leader's credit of model loads fell without a bound, so that after the operators corrected it, no model was loaded for as long as the debt took to refill. Converting the negative credit to unsigned is undefined and differs between x86-64 and arm64. Class: input is trusted to have the shape that our own writers give it. The credit stays between 0 and the burst.

--- a/src/libgateway/placement.cpp
+++ b/src/libgateway/placement.cpp
@@ -279,8 +279,8 @@
 
 void LoadLimiter::refill(TimePoint Now) {
   if (m_lastRefill != TimePoint{})
-    m_credit =
-        std::min(m_burst, m_credit + m_rate * toSeconds(Now - m_lastRefill));
+    m_credit = std::clamp(m_credit + m_rate * toSeconds(Now - m_lastRefill),
+                          0.0, m_burst);
   else
     m_credit = 1;
   m_lastRefill = Now;
