libgateway: a response whose body is arriving is not left for another endpoint

Callers of repeatable requests saw 502 although the complete response of a sound endpoint was under way. Cause: at half of the time an attempt counted as silent even if its body arrived steadily; the second endpoint got the request, the first connection was closed 300 ms later, and then the second one broke off. Class: what one has is given up before its replacement is there. Evidence: SilentWithOthers.ResponseThatIsArrivingIsNotLeft (a byte each 100 ms, complete after 800 of 900 ms). Before: the other endpoint got the request, status 502 after 791 ms. After: 200 in 801 ms, and the request ran once.

--- a/src/libgateway/attempt.h
+++ b/src/libgateway/attempt.h
@@ -73,7 +73,9 @@
   TimePoint m_sentAt{};
   /// The request was sent completely, so the attempt can be resumed.
   bool m_sent = false;
-  std::string m_body;          ///< Of a response that is not a stream.
+  std::string m_body; ///< Of a response that is not a stream.
+  /// Size of m_body when another endpoint was last considered.
+  std::size_t m_checkedBodyBytes = 0;
   EventSplitter m_splitter;    ///< Of a response that is a stream.
   bool m_eventSeen = false;    ///< New or sent to the caller before.
   bool m_prefillDone = false;  ///< Its first event arrived.
--- a/src/libgateway/exchangeattempt.cpp
+++ b/src/libgateway/exchangeattempt.cpp
@@ -33,11 +33,14 @@
 
 /// Extends an attempt that timed out until another endpoint has capacity for
 /// the request or its deadline has passed: an endpoint that has not responded
-/// for long may still respond.
+/// for long may still respond. One whose response is arriving is not left.
 Watchdog::Extension Exchange::extendUnlessFailover() {
   return [this](TimePoint Now) {
     const TimePoint Latest = m_deadline + DeadlineGrace;
-    if (Now >= Latest || canFailOver(Now))
+    const std::size_t BodyBytes = m_attempt.m_body.size();
+    const bool Arriving = BodyBytes > m_attempt.m_checkedBodyBytes;
+    m_attempt.m_checkedBodyBytes = BodyBytes;
+    if (Now >= Latest || (!Arriving && canFailOver(Now)))
       return Now;
     return std::min<TimePoint>(Latest, Now + FailoverCheckInterval);
   };
