libgateway: a repeated refusal starts no further pause of its endpoint

An endpoint was left alone although its pause was over and it answered, so that its capacity was missing. Cause: readHead() took notices (Retry-After, leaving) also from responses that it then skips as answers to earlier requests, or that name no request on a used connection. Class: responses matched by their place on a connection. Evidence: SilentWithOthers.RepeatedRefusalStartsNoFurtherPause. A notice of its own response, or of an interim one, counts as before.

--- a/src/libgateway/exchangeattempt.cpp
+++ b/src/libgateway/exchangeattempt.cpp
@@ -107,9 +107,11 @@
     const HttpHead &Head = C->m_reader.head();
     const bool IsInterim = Head.m_status >= 100 && Head.m_status < 200;
     const ResponseMetadata Metadata = m_core.m_dialect.responseMetadata(Head);
-    m_core.onResponse(m_attempt.m_choice.m_endpoint, m_attempt.m_incarnation,
-                      Head, clockNow());
-    if (!IsInterim && answersRequest(Metadata, *C))
+    const bool IsOwn = IsInterim || answersRequest(Metadata, *C);
+    if (IsOwn)
+      m_core.onResponse(m_attempt.m_choice.m_endpoint, m_attempt.m_incarnation,
+                        Head, clockNow());
+    if (!IsInterim && IsOwn)
       co_return boost::outcome_v2::success();
     if (!IsInterim && Metadata.m_requestId.empty()) {
       m_core.m_metrics->count("answer_without_id");
