--- a/src/libgateway/exchangeattempt.cpp
+++ b/src/libgateway/exchangeattempt.cpp
@@ -33,11 +33,14 @@
 
 /// Extends an attempt that timed out until another endpoint has capacity for
 /// the request or its deadline has passed: an endpoint that has not responded
-/// for long may still respond.
+/// for long may still respond. One whose response is arriving is not left.
 Watchdog::Extension Exchange::extendUnlessFailover() {
   return [this](TimePoint Now) {
     const TimePoint Latest = m_deadline + DeadlineGrace;
-    if (Now >= Latest || canFailOver(Now))
+    const std::size_t BodyBytes = m_attempt.m_body.size();
+    const bool Arriving = BodyBytes > m_attempt.m_checkedBodyBytes;
+    m_attempt.m_checkedBodyBytes = BodyBytes;
+    if (Now >= Latest || (!Arriving && canFailOver(Now)))
       return Now;
     return std::min<TimePoint>(Latest, Now + FailoverCheckInterval);
   };
@@ -104,9 +107,11 @@
     const HttpHead &Head = C->m_reader.head();
     const bool IsInterim = Head.m_status >= 100 && Head.m_status < 200;
     const ResponseMetadata Metadata = m_core.m_dialect.responseMetadata(Head);
-    m_core.onResponse(m_attempt.m_choice.m_endpoint, m_attempt.m_incarnation,
-                      Head, clockNow());
-    if (!IsInterim && answersRequest(Metadata, *C))
+    const bool IsOwn = IsInterim || answersRequest(Metadata, *C);
+    if (IsOwn)
+      m_core.onResponse(m_attempt.m_choice.m_endpoint, m_attempt.m_incarnation,
+                        Head, clockNow());
+    if (!IsInterim && IsOwn)
       co_return boost::outcome_v2::success();
     if (!IsInterim && Metadata.m_requestId.empty()) {
       m_core.m_metrics->count("answer_without_id");
