libgateway: the timeout of an attempt ends with its response

Callers saw: a gateway ended by itself (signal 11), and with it all requests that it held. Any caller that took a long whole response slowly could cause it, and so could a VM that was paused until after an attempt's timeout. Cause: since the timeout interrupts m_attempt.m_connection. releaseConnection() gave up the connection of a complete response (null) while the timer went on until the response had been forwarded. endAttempt() gave it up with the timer armed if the caller left. Class of fault: a timer outlives what it limits. SlowCaller.TimeoutOfAnAttemptEndsWithItsResponse ended with signal 11 (exit code 139) before the fix and passes now, with SilentEndpoint and GatewayPath (36 tests). Why it works: the timer is disarmed wherever the connection is given up, so its action always finds one.

--- a/src/libgateway/exchangeattempt.cpp
+++ b/src/libgateway/exchangeattempt.cpp
@@ -245,6 +245,7 @@
 
 /// Releases the endpoint of the current attempt, or sets the attempt aside.
 void Exchange::endAttempt(AttemptOutcome Outcome, TimePoint Now) {
+  m_attemptTimer.disarm();
   recordAttempt(Outcome, Now);
   m_expectedWait = m_attempt.m_observation.m_pause;
   if (Outcome == AttemptOutcome::Delivered)
@@ -293,6 +294,7 @@
 /// names no request is not reused: a repeated response could not be told from
 /// the next one.
 void Exchange::releaseConnection(const ResponseMetadata &Metadata) {
+  m_attemptTimer.disarm();
   const ConnectionPtr C = std::move(m_attempt.m_connection);
   m_attempt.m_connection = nullptr;
   if (Metadata.m_requestId.empty())
