testsuite: the soak draws notices, silences, repeated refusals and odd entries

The stand-in of an engine learns: silence of 1 to 1.6 s within a stream, Server-Leaving in all its answers (drawn: before its record says so), 503 with Retry-After, an earlier refusal written once more (with its id or without), a continuation that answers with an error in a 200. The store gets odd entries of another writer. Configurations change the idle time of callers' connections. The soak checks that gateways heed both notices, that callers' requests within the idle time are read, and that cut streams hold only events of theirs. Draws moved to faults.cpp.

--- a/testsuite/soak/callers.cpp
+++ b/testsuite/soak/callers.cpp
@@ -30,6 +30,11 @@
 /// A request that crosses the end of its connection within this time, and has
 /// not run, was never read.
 constexpr std::chrono::milliseconds CrossingTime{200};
+/// Part of the idle time that callers use.
+constexpr double IdleShare = 0.8;
+/// Shortest idle time of a configuration. A gateway that can't reach the store
+/// may still apply it.
+constexpr std::chrono::milliseconds MinIdleTimeout{500};
 
 const char *pathOf(Work W) {
   switch (W) {
@@ -63,8 +68,8 @@
 
 asio::awaitable<void> Callers::run() {
   ++m_active;
-  Socket S(m_io);
-  std::size_t At = 0;
+  Connection C(m_io);
+  const bool Idles = m_random() % 4 == 0;
   while (!m_stopped) {
     const Work W = static_cast<Work>(m_random() % 4);
     std::string Artifact;
@@ -74,24 +79,43 @@
         Artifact += "/a" + std::to_string(1 + m_random() % 3);
     }
     const std::string Id = "q" + std::to_string(++m_next);
-    if (!S.is_open())
-      At = m_random() % m_gateways.size();
-    const std::string Address = m_gateways[At]->callerAddress();
+    if (!C.m_socket.is_open())
+      C.m_gateway = m_gateways[m_random() % m_gateways.size()].get();
     m_check.onSent(Id, W);
-    const Verdict V = co_await attempt(S, Address, Id, W, Artifact);
+    const Verdict V = co_await attempt(C, Id, W, Artifact);
     m_check.onVerdict(Id, V);
-    asio::steady_timer Pause(m_io,
-                             std::chrono::milliseconds(10 + m_random() % 60));
-    std::error_code Ignored;
-    co_await Pause.async_wait(
-        asio::redirect_error(asio::use_awaitable, Ignored));
+    co_await rest(C, Idles);
   }
   --m_active;
 }
 
-asio::awaitable<Verdict> Callers::attempt(Socket &S, std::string Address,
-                                          std::string Id, Work W,
+asio::awaitable<void> Callers::rest(Connection &C, bool Idles) {
+  C.m_idleSince = Clock::now();
+  std::chrono::milliseconds Time(10 + m_random() % 60);
+  if (Idles && C.m_socket.is_open() && !m_stopped)
+    Time += std::chrono::milliseconds(
+        m_random() %
+        static_cast<unsigned>(IdleShare *
+                              static_cast<double>(m_idleTimeout.count())));
+  asio::steady_timer Pause(m_io, Time);
+  std::error_code Ignored;
+  co_await Pause.async_wait(asio::redirect_error(asio::use_awaitable, Ignored));
+  if (Clock::now() - C.m_idleSince > m_idleTimeout * IdleShare)
+    C.m_socket.close(Ignored);
+}
+
+bool Callers::mustBeRead(const Connection &C) const {
+  const auto IdleTimeout = m_calm ? m_idleTimeout : MinIdleTimeout;
+  return C.m_gateway->serving() &&
+         C.m_gateway->m_interruptions == C.m_interruptions &&
+         Clock::now() - C.m_idleSince <= IdleTimeout * IdleShare;
+}
+
+asio::awaitable<Verdict> Callers::attempt(Connection &C, std::string Id, Work W,
                                           std::string Artifact) {
+  Socket &S = C.m_socket;
+  const std::string Address = C.m_gateway->callerAddress();
+  m_notices.onSent(Id, C.m_gateway->name());
   std::error_code Ec;
   const bool Kept = S.is_open();
   asio::steady_timer Limit(m_io, Patience);
@@ -110,7 +134,10 @@
       S.close(Ec);
       co_return Verdict::NotSent;
     }
+    C.m_interruptions = C.m_gateway->m_interruptions;
+    C.m_idleSince = Clock::now();
   }
+  const bool MustBeRead = mustBeRead(C);
   const std::string Bytes = soakRequest(pathOf(W), Id, Artifact, DeadlineMs);
   const Clock::time_point Sent = Clock::now();
   const bool Calm = m_calm;
@@ -119,6 +146,7 @@
   gateway::HttpReader Reader(gateway::HttpRole::Response, 65536);
   std::string Input;
   std::string Body;
+  bool PassedOn = false;
   while (!Ec && !Reader.complete()) {
     char Buffer[4096];
     const std::size_t N = co_await S.async_read_some(
@@ -133,6 +161,11 @@
       }
       Input.erase(0, Used.value());
       Body += Reader.takeBody();
+      if (!PassedOn && Reader.headComplete()) {
+        PassedOn = true;
+        if (Reader.head().m_status == 200)
+          m_notices.onPassedOn(Id);
+      }
       if (Used.value() == 0)
         break;
     }
@@ -143,6 +176,14 @@
                         Clock::now() - Sent < CrossingTime && !Reader.started();
     if (Calm && m_calm && !TimedOut && !Unread)
       m_check.violation(Id + " was cut at " + Address + " without a fault");
+    if (Unread && MustBeRead &&
+        C.m_interruptions == C.m_gateway->m_interruptions)
+      m_check.violation(Id + " was not read at " + Address +
+                        ", within the idle time and without an answer");
+    const bool Events = W == Work::Stream || W == Work::OneStream;
+    if (Events && Reader.headComplete() && Reader.head().m_status == 200 &&
+        wholeStream().compare(0, Body.size(), Body) != 0)
+      m_check.violation(Id + " got bytes in its stream that are no part of it");
     S.close(Ec);
     co_return TimedOut ? Verdict::TimedOut : Verdict::Cut;
   }
--- a/testsuite/soak/gatewayprocess.cpp
+++ b/testsuite/soak/gatewayprocess.cpp
@@ -51,6 +51,7 @@
   m_stopping = false;
   m_paused = false;
   m_killed = false;
+  ++m_interruptions;
   std::error_code NoLogYet;
   const std::uintmax_t LogSize = std::filesystem::file_size(Log, NoLogYet);
   m_logSizeAtStart = NoLogYet ? 0 : LogSize;
@@ -65,6 +66,7 @@
     return;
   m_killed = m_killed || Number == SIGKILL;
   m_stopping = m_stopping || Number == SIGTERM;
+  m_interruptions += Number == SIGHUP ? 0 : 1;
   if (Number == SIGSTOP || Number == SIGCONT)
     m_paused = Number == SIGSTOP;
   ::kill(m_pid, Number);
--- a/testsuite/soak/gatewayprocess.h
+++ b/testsuite/soak/gatewayprocess.h
@@ -36,6 +36,10 @@
   /// Looks whether it has ended; call it often.
   ProcessEnd poll();
   bool running() const { return m_pid > 0; }
+  /// Whether it was told nothing that keeps it from serving.
+  bool serving() const {
+    return running() && !m_stopping && !m_killed && !m_paused;
+  }
   const std::string &name() const { return m_setup.m_name; }
   std::string callerAddress() const {
     return m_setup.m_ip + ':' + std::to_string(CallerPort);
@@ -45,6 +49,8 @@
 
   bool m_stopping = false; ///< SIGTERM was sent to this run.
   bool m_paused = false;   ///< SIGSTOP was sent last.
+  /// Starts, and signals that end, pause or resume it.
+  unsigned m_interruptions = 0;
 
 private:
   std::string logPath() const {
--- a/testsuite/soak/proxy.cpp
+++ b/testsuite/soak/proxy.cpp
@@ -56,6 +56,7 @@
 
 void Proxy::setState(LinkState State) {
   m_state = State;
+  m_lastFault = std::chrono::steady_clock::now();
   // The system drops packets that open a connection while its queue is full.
   std::error_code Ignored;
   m_acceptor.listen(State == LinkState::Unreachable ? 0 : Backlog, Ignored);
@@ -73,6 +74,7 @@
 }
 
 void Proxy::reset() {
+  m_lastFault = std::chrono::steady_clock::now();
   for (const LinkPtr &L : m_links)
     end(L, true);
 }
--- a/testsuite/soak/proxy.h
+++ b/testsuite/soak/proxy.h
@@ -31,6 +31,11 @@
   Proxy(asio::io_context &Io, const std::string &Ip, std::string Target);
   std::string address() const;
   void setState(LinkState State);
+  /// When it last had a fault; Now, while it has one.
+  std::chrono::steady_clock::time_point
+  lastFault(std::chrono::steady_clock::time_point Now) const {
+    return m_state == LinkState::Up ? m_lastFault : Now;
+  }
   /// Resets the open connections.
   void reset();
 
@@ -55,6 +60,7 @@
   asio::ip::tcp::acceptor m_acceptor;
   std::string m_target;
   LinkState m_state = LinkState::Up;
+  std::chrono::steady_clock::time_point m_lastFault; ///< Its end.
   std::minstd_rand m_random{1}; ///< Draws the packets that get lost.
   std::set<LinkPtr> m_links;
 };
--- a/testsuite/soak/soak.cpp
+++ b/testsuite/soak/soak.cpp
@@ -1,4 +1,4 @@
-// Faults and phases of the soak.
+// Phases of the soak.
 #include "soak.h"
 
 #include "libgateway/connections.h"
@@ -29,7 +29,6 @@
 
 constexpr milliseconds RestartPause{300};
 /// Bounds of the users' deployments.
-constexpr milliseconds DrainLimit{2500};
 constexpr milliseconds ConfigurationLimit{2500};
 constexpr milliseconds StopLimit{8000};
 constexpr milliseconds RecoverLimit{12000};
@@ -38,17 +37,22 @@
 constexpr milliseconds ServedSpan{1500};
 /// Entries of servers come back within this time after an outage.
 constexpr milliseconds EntryPause{2000};
+/// Part of the streams in which a sound endpoint is silent for a while.
+constexpr double BaseSilences = 0.02;
+/// Part of the continuations that get an error while faults are drawn.
+constexpr double ContinuationErrors = 0.3;
 
 } // namespace
 
 Soak::Soak(SoakOptions Options)
     : m_options(std::move(Options)), m_random(m_options.m_seed), m_store(m_io) {
   std::filesystem::create_directories(m_options.m_folder);
+  m_baseFaults.m_silenceProbability = BaseSilences;
   const std::string Net =
       fmt::format("127.{}.{}.", 16 + m_options.m_subnet % 200,
                   m_options.m_subnet / 200 % 250);
   m_store.listen(Net + "200");
-  m_store.put(wire::ConfigurationKey, soakConfiguration(m_version, 0));
+  putConfiguration();
   const std::vector<std::vector<std::string>> Held = {
       {}, {}, {}, {"m1", "m2"}, {"m1"}, {"m2", "m3"}, {"m1", "m3"}};
   for (unsigned I = 0; I < Held.size(); ++I) {
@@ -62,6 +66,8 @@
     };
     m_engines.push_back(std::make_unique<EngineStandin>(
         m_io, m_store, Setup, OnRun, m_options.m_seed * 100 + I));
+    m_engines.back()->m_observer = &m_notices;
+    m_engines.back()->m_faults = m_baseFaults;
     m_engines.back()->listen(Net + "200");
     m_engineLinks.push_back(std::make_unique<Proxy>(
         m_io, Net + "200", m_engines.back()->address()));
@@ -75,8 +81,9 @@
         Net + std::to_string(I + 1), 'd' + std::to_string(1 + I % 3),
         m_storeLinks.back()->address()}));
   }
-  m_callers = std::make_unique<Callers>(m_io, m_check, m_gateways,
-                                        m_options.m_seed + 7);
+  m_callers = std::make_unique<Callers>(
+      m_io, CallerChecks{m_check, m_notices, m_idleTimeout}, m_gateways,
+      m_options.m_seed + 7);
 }
 
 void Soak::note(const std::string &Text) {
@@ -105,7 +112,12 @@
       if (!m_keepRunning)
         continue;
       GatewayProcess *Ended = P.get();
-      start(applyFor([] {}, [Ended] { Ended->start(); }, RestartPause));
+      start(applyFor([] {},
+                     [this, Ended] {
+                       m_notices.onInterruption(Ended->name());
+                       Ended->start();
+                     },
+                     RestartPause));
     }
     co_await pause(Milliseconds(20));
   }
@@ -121,149 +133,8 @@
   --m_faultsInForce;
 }
 
-void Soak::drawProcessFault(GatewayProcess &P, Milliseconds Time) {
-  if (!P.running() || P.m_paused)
-    return;
-  switch (draw(4)) {
-  case 0:
-    note(P.name() + " is killed");
-    P.signal(SIGKILL);
-    break;
-  case 1:
-    note(fmt::format("{} stands still for {} ms", P.name(), Time.count()));
-    start(applyFor([&P] { P.signal(SIGSTOP); }, [&P] { P.signal(SIGCONT); },
-                   Time));
-    break;
-  case 2:
-    note(P.name() + " is told to stop");
-    P.signal(SIGTERM);
-    break;
-  default:
-    note(P.name() + " gets SIGHUP");
-    P.signal(SIGHUP);
-  }
-}
-
-void Soak::drawStoreFault(Milliseconds Time) {
-  static const std::pair<StoreFault, const char *> Kinds[] = {
-      {StoreFault::Busy, "busy"},
-      {StoreFault::Unresponsive, "silent"},
-      {StoreFault::Slow, "slow"},
-      {StoreFault::DropsResponses, "losing answers"}};
-  const unsigned Kind = draw(6);
-  if (Kind >= std::size(Kinds)) {
-    if (Kind == 4) {
-      note("the store forgets its history");
-      m_store.compact();
-      return;
-    }
-    note("the store takes the gateways' keys away");
-    m_store.removePrefix("primrose/");
-    return;
-  }
-  if (m_store.fault() != StoreFault::None)
-    return;
-  note(fmt::format("the store is {} for {} ms", Kinds[Kind].second,
-                   Time.count()));
-  const StoreFault Fault = Kinds[Kind].first;
-  start(applyFor([this, Fault] { m_store.setFault(Fault); },
-                 [this] { m_store.setFault(StoreFault::None); }, Time));
-}
-
-void Soak::drawEngineFault(EngineStandin &E, Milliseconds Time) {
-  const unsigned Kind = draw(8);
-  if (Kind == 0) {
-    note(E.id() + " crashes");
-    start(applyFor([&E] { E.crash(); },
-                   [&E] {
-                     E.removeRecord();
-                     E.restart();
-                   },
-                   Time));
-    return;
-  }
-  if (Kind == 1) {
-    note(E.id() + " drains");
-    start(applyFor([&E] { E.drain(); },
-                   [&E] {
-                     E.crash();
-                     E.removeRecord();
-                     E.restart();
-                   },
-                   DrainLimit + Time));
-    return;
-  }
-  EngineFaults F;
-  (Kind == 2   ? F.m_rejectProbability
-   : Kind == 3 ? F.m_dropResponseProbability
-   : Kind == 4 ? F.m_truncateProbability
-   : Kind == 5 ? F.m_stallProbability
-   : Kind == 6 ? F.m_lateOrderProbability
-               : F.m_dropOrderResponseProbability) = 0.3;
-  note(fmt::format("{} fails in part (kind {}) for {} ms", E.id(), Kind,
-                   Time.count()));
-  start(applyFor([&E, F] { E.m_faults = F; },
-                 [&E] { E.m_faults = EngineFaults(); }, Time));
-}
-
-void Soak::drawLinkFault(Proxy &P, Milliseconds Time) {
-  static const std::pair<LinkState, const char *> Kinds[] = {
-      {LinkState::Delayed, "delayed"},
-      {LinkState::OneWay, "cut one way"},
-      {LinkState::Silent, "silent"},
-      {LinkState::OldSilent, "silent on open connections"},
-      {LinkState::Lossy, "losing packets"},
-      {LinkState::Unreachable, "closed to new connections"}};
-  const unsigned Kind = draw(std::size(Kinds) + 1);
-  if (Kind == std::size(Kinds)) {
-    note("the link at " + P.address() + " is reset");
-    P.reset();
-    return;
-  }
-  note(fmt::format("the link at {} is {} for {} ms", P.address(),
-                   Kinds[Kind].second, Time.count()));
-  const LinkState State = Kinds[Kind].first;
-  start(applyFor([&P, State] { P.setState(State); },
-                 [&P] { P.setState(LinkState::Up); }, Time));
-}
-
-void Soak::changeConfiguration() {
-  m_version += 1 + draw(5);
-  m_extraRoutes += draw(2);
-  note(fmt::format("configuration {} with {} more routes", m_version,
-                   m_extraRoutes));
-  m_store.put(wire::ConfigurationKey,
-              soakConfiguration(m_version, m_extraRoutes));
-}
-
-void Soak::drawFault() {
-  const Milliseconds Time(200 + draw(3000));
-  switch (draw(6)) {
-  case 0:
-  case 1:
-    drawProcessFault(*m_gateways[draw(m_options.m_gateways)], Time);
-    break;
-  case 2:
-    drawStoreFault(Time);
-    break;
-  case 3:
-    drawEngineFault(*m_engines[draw(static_cast<unsigned>(m_engines.size()))],
-                    Time);
-    break;
-  case 4:
-    if (draw(2) == 0)
-      drawLinkFault(*m_storeLinks[draw(m_options.m_gateways)], Time);
-    else
-      drawLinkFault(
-          *m_engineLinks[draw(static_cast<unsigned>(m_engineLinks.size()))],
-          Time);
-    break;
-  default:
-    changeConfiguration();
-  }
-}
-
 asio::awaitable<void> Soak::injectFaults() {
+  setContinuationErrors(ContinuationErrors);
   const auto End = Clock::now() + m_options.m_faultTime;
   while (Clock::now() < End) {
     // Some faults come at once, some in series.
@@ -274,6 +145,7 @@
   }
   while (m_faultsInForce > 0)
     co_await pause(Milliseconds(20));
+  setContinuationErrors(0);
 }
 
 asio::awaitable<void> Soak::checkRecovery() {
@@ -298,8 +170,8 @@
 asio::awaitable<void> Soak::checkConfiguration() {
   m_extraRoutes += 1;
   m_version += 1;
-  m_store.put(wire::ConfigurationKey,
-              soakConfiguration(m_version, m_extraRoutes));
+  drawIdleTimeout();
+  putConfiguration();
   co_await pause(ConfigurationLimit);
   const std::string Path = "/extra" + std::to_string(m_extraRoutes - 1) + "/x";
   for (const auto &P : m_gateways) {
@@ -320,9 +192,7 @@
   m_drainOver = true;
   co_await pause(Milliseconds(700));
   m_drainOver = false;
-  E.crash();
-  E.removeRecord();
-  E.restart();
+  restartEngine(E);
 }
 
 /// Every gateway stops and starts again while callers go on.
@@ -392,6 +262,7 @@
     Line += fmt::format(", {} {}", Counts[V], Name);
   std::cout << "  " << m_check.sent() << " attempts" << Line << ", "
             << m_store.requestCount() << " store calls" << std::endl;
+  note(m_notices.summary());
   for (const std::string &V : m_check.violations())
     std::cout << "  BROKEN " << V << std::endl;
   return m_check.violations().empty();
--- a/testsuite/soak/soak.h
+++ b/testsuite/soak/soak.h
@@ -6,6 +6,7 @@
 #include "callers.h"
 #include "checker.h"
 #include "gatewayprocess.h"
+#include "noticechecker.h"
 #include "platform/enginestandin_fake.h"
 #include "platform/storestandin_fake.h"
 #include "proxy.h"
@@ -40,6 +41,8 @@
 
 private:
   using Milliseconds = std::chrono::milliseconds;
+  /// Within this time a VM stops sending to an endpoint that leaves.
+  static constexpr Milliseconds DrainLimit{2500};
 
   asio::awaitable<void> play();
   asio::awaitable<void> watchProcesses();
@@ -52,10 +55,20 @@
   asio::awaitable<void> checkRollingStop();
   asio::awaitable<void> pause(Milliseconds Time);
 
+  Clock::time_point lastLinkFault(const std::string &Endpoint) const;
   void drawFault();
   void drawProcessFault(GatewayProcess &P, Milliseconds Time);
   void drawStoreFault(Milliseconds Time);
   void drawEngineFault(EngineStandin &E, Milliseconds Time);
+  void drawOddEntry(Milliseconds Time);
+  void restartEngine(EngineStandin &E);
+  void drainEngine(EngineStandin &E, Milliseconds Time);
+  void setEngineFaults(EngineStandin &E,
+                       const platform::testing::EngineFaults &F,
+                       Milliseconds Time);
+  void setContinuationErrors(double Probability);
+  void drawIdleTimeout();
+  void putConfiguration();
   void drawLinkFault(Proxy &P, Milliseconds Time);
   void changeConfiguration();
   void start(asio::awaitable<void> Task);
@@ -66,6 +79,9 @@
   std::mt19937_64 m_random;
   asio::io_context m_io{1};
   Checker m_check;
+  NoticeChecker m_notices{m_check, [this](const std::string &Endpoint) {
+                            return lastLinkFault(Endpoint);
+                          }};
   StoreStandin m_store;
   std::vector<std::unique_ptr<EngineStandin>> m_engines;
   std::vector<std::unique_ptr<Proxy>> m_engineLinks; ///< One an engine.
@@ -74,6 +90,10 @@
   std::unique_ptr<Callers> m_callers;
   std::uint64_t m_version = 1; ///< Of the configuration.
   unsigned m_extraRoutes = 0;
+  Milliseconds m_idleTimeout{4000}; ///< Of the newest configuration.
+  unsigned m_oddEntries = 0;
+  /// Of endpoints without a drawn fault.
+  platform::testing::EngineFaults m_baseFaults;
   int m_faultsInForce = 0;
   bool m_keepRunning = true; ///< Processes that end are started again.
   bool m_done = false;
