--- a/src/libgateway/exchangeattempt.cpp
+++ b/src/libgateway/exchangeattempt.cpp
@@ -555,7 +555,12 @@
   decisionlog::line(LogClass::Failure, "attempt")
       .text("id", m_requestMetadata.m_id)
       .text("endpoint", Id)
+      .number("incarnation",
+              static_cast<std::int64_t>(m_attempt.m_incarnation))
       .text("end", nameOf(AttemptOutcomeNames, Outcome))
+      .number("closed_by_peer", m_attempt.m_closedByPeer ? 1 : 0)
+      .text("fingerprint", fmt::format("{:016x}", m_fingerprint))
+      .number("strikes", m_core.m_suspects.strikes(m_fingerprint, Now))
       .number("status", m_attempt.m_status)
       .number("load", m_attempt.m_choice.m_load)
       .real("score_ms", m_attempt.m_choice.m_scoreMs)
