--- a/src/include/primroseworks/suspects.h
+++ b/src/include/primroseworks/suspects.h
@@ -27,6 +27,20 @@
   /// strikes of one crash reach all daemons first. A crash is noticed after 50
   /// to 100 ms and told within 10 ms; the rest is for a busy machine.
   Milliseconds m_settle{500};
+  /// Suspicion from which that wait applies.
+  unsigned m_settleFrom = 1;
+  /// How long after its last strike a refusal that was met here is repeated to
+  /// the peers.
+  Seconds m_refusalRepeat{15};
+};
+
+/// What is known of one suspect, for operators.
+struct SuspectState {
+  std::uint64_t m_fingerprint = 0;
+  unsigned m_strikes = 0;
+  unsigned m_suspicion = 0;
+  bool m_refused = false;
+  Duration m_remaining{}; ///< Until its strikes expire.
 };
 
 /// Strikes per fingerprint, and where struck fingerprints run.
@@ -36,9 +50,14 @@
 /// suspects include one with more strikes is explained by that one, and does
 /// not restrict those with fewer; its suspicion is the strikes that remain.
 ///
+/// A fingerprint is refused once it has m_strikes and one of its crashes has no
+/// other suspect with as many: of several that always crashed together, each
+/// must run once more, apart from the others.
+///
 /// Bound: a fingerprint that crashes every endpoint takes down at most
 /// m_strikes endpoints one after the other, plus those that ran it at the same
-/// instant or before the strike reached the daemon that sent it. One crashing
+/// instant or before the strike reached the daemon that sent it, plus one if
+/// others crashed together with it each time. One crashing
 /// fingerprint gives another at most two strikes while no two with a suspicion
 /// of two share an endpoint. They do not: inside a daemon always, between
 /// daemons that heard of both within m_contention and of each strike within
@@ -64,13 +83,16 @@
   /// queues that for the peers as crash 0. A cleared strike that arrives again
   /// is ignored.
   void onCompleted(std::uint64_t Fingerprint);
+  /// The run with this crash id has not ended: drops its strikes, here only,
+  /// from fingerprints that were last struck before StruckBefore.
+  void onAlive(std::uint64_t Crash, TimePoint StruckBefore);
   /// Clears a fingerprint on an operator's word, here only.
   void clear(std::uint64_t Fingerprint);
   /// Changes to send to the peers since the last call.
   std::vector<std::pair<std::uint64_t, std::uint64_t>> take();
   /// Strikes to send again, because the fingerprint is held here and must run
-  /// alone, or was refused within m_contention on a strike seen here: peers
-  /// learn that it still competes, and get what a broken link lost.
+  /// alone, or is refused on a strike seen or met here within m_refusalRepeat:
+  /// peers learn that it still competes, and get what a broken link lost.
   std::vector<std::pair<std::uint64_t, std::uint64_t>> repeats(TimePoint Now);
 
   unsigned strikes(std::uint64_t Fingerprint, TimePoint Now);
@@ -79,9 +101,12 @@
   bool struck(std::uint64_t Fingerprint, TimePoint Now) {
     return suspicion(Fingerprint, Now) > 0;
   }
-  bool refused(std::uint64_t Fingerprint, TimePoint Now) {
-    return strikes(Fingerprint, Now) >= m_options.m_strikes;
-  }
+  bool refused(std::uint64_t Fingerprint, TimePoint Now);
+  /// A request with the fingerprint was refused here: this daemon repeats its
+  /// strikes, so that peers which start later learn them.
+  void onRefused(std::uint64_t Fingerprint);
+  /// All fingerprints with strikes, the worst first.
+  std::vector<SuspectState> list(TimePoint Now);
   /// Time until the strikes expire.
   Duration remaining(std::uint64_t Fingerprint, TimePoint Now) const;
   /// A request with the fingerprint waits in this daemon, until released.
@@ -105,20 +130,28 @@
 private:
   explicit CrashSuspects(SuspectOptions Options) : m_options(Options) {}
   struct Entry {
-    std::vector<std::uint64_t> m_crashes; ///< At most m_strikes.
+    std::vector<std::uint64_t> m_crashes; ///< At most m_strikes + 1.
     std::vector<std::uint64_t> m_cleared; ///< Ignored if told again.
     TimePoint m_lastStrike;
     TimePoint m_lastHeard; ///< Last strike, or repetition of one.
-    bool m_own = false;    ///< A strike was seen here.
+    bool m_own = false;    ///< A strike was seen here, or a refusal met.
+  };
+  /// The suspects with most strikes of one crash.
+  struct Worst {
+    std::size_t m_strikes = 0;
+    unsigned m_count = 0; ///< Suspects with that many.
   };
   unsigned add(std::uint64_t Fingerprint, std::uint64_t Crash, TimePoint Now);
   bool forgive(std::uint64_t Fingerprint);
+  static void limitCleared(Entry &E);
   void expire(TimePoint Now);
   unsigned suspicionOf(const Entry &E);
+  bool isRefused(const Entry &E);
+  void findWorst();
   /// Whether a suspect other than those held here with a suspicion of one
   /// competes for endpoints.
   bool competes(std::uint64_t Fingerprint, const Entry &E, unsigned Suspicion,
-                TimePoint Now) const;
+                TimePoint Now);
 
   SuspectOptions m_options;
   std::unordered_map<std::uint64_t, Entry> m_entries; ///< Struck or cleared.
@@ -127,9 +160,8 @@
   /// How often a fingerprint waits or runs in this daemon; none is 0.
   std::unordered_map<std::uint64_t, unsigned> m_held;
   std::vector<std::pair<std::uint64_t, std::uint64_t>> m_outgoing;
-  /// Most strikes of a fingerprint of each crash; computed again after a
-  /// change.
-  std::unordered_map<std::uint64_t, std::size_t> m_worst;
+  /// By crash; computed again after a change.
+  std::unordered_map<std::uint64_t, Worst> m_worst;
   bool m_worstKnown = false;
   TimePoint m_nextExpiry{};
 };
--- a/src/libadmission/suspects.cpp
+++ b/src/libadmission/suspects.cpp
@@ -47,7 +47,7 @@
     return static_cast<unsigned>(E.m_crashes.size());
   E.m_lastHeard = Now;
   if (!contains(E.m_crashes, Crash) &&
-      E.m_crashes.size() < m_options.m_strikes) {
+      E.m_crashes.size() <= m_options.m_strikes) {
     E.m_crashes.push_back(Crash);
     E.m_lastStrike = Now;
     m_worstKnown = false;
@@ -81,16 +81,32 @@
     return false;
   Entry &E = It->second;
   E.m_cleared.insert(E.m_cleared.end(), E.m_crashes.begin(), E.m_crashes.end());
-  if (E.m_cleared.size() > ClearedCrashesMax)
-    E.m_cleared.erase(E.m_cleared.begin(),
-                      E.m_cleared.end() -
-                          static_cast<std::ptrdiff_t>(ClearedCrashesMax));
+  limitCleared(E);
   E.m_crashes.clear();
   E.m_own = false;
   m_worstKnown = false;
   return true;
 }
 
+void CrashSuspects::limitCleared(Entry &E) {
+  if (E.m_cleared.size() > ClearedCrashesMax)
+    E.m_cleared.erase(E.m_cleared.begin(),
+                      E.m_cleared.end() -
+                          static_cast<std::ptrdiff_t>(ClearedCrashesMax));
+}
+
+void CrashSuspects::onAlive(std::uint64_t Crash, TimePoint StruckBefore) {
+  for (auto &[Fingerprint, E] : m_entries) {
+    const auto It = std::find(E.m_crashes.begin(), E.m_crashes.end(), Crash);
+    if (It == E.m_crashes.end() || E.m_lastStrike >= StruckBefore)
+      continue;
+    E.m_crashes.erase(It);
+    E.m_cleared.push_back(Crash);
+    limitCleared(E);
+    m_worstKnown = false;
+  }
+}
+
 void CrashSuspects::onCompleted(std::uint64_t Fingerprint) {
   if (forgive(Fingerprint))
     m_outgoing.emplace_back(Fingerprint, 0);
@@ -114,8 +130,8 @@
   std::vector<std::pair<std::uint64_t, std::uint64_t>> Out;
   expire(Now);
   for (auto &[Fingerprint, E] : m_entries) {
-    const bool Refused = E.m_crashes.size() >= m_options.m_strikes;
-    const bool Recent = Now - E.m_lastStrike < m_options.m_contention;
+    const bool Refused = isRefused(E);
+    const bool Recent = Now - E.m_lastStrike < m_options.m_refusalRepeat;
     const bool Held = m_held.count(Fingerprint) != 0 && suspicionOf(E) > 1;
     if (Refused ? !(E.m_own && Recent) : !Held)
       continue;
@@ -153,28 +169,72 @@
   return static_cast<unsigned>(It->second.m_crashes.size());
 }
 
+void CrashSuspects::findWorst() {
+  if (m_worstKnown)
+    return;
+  m_worst.clear();
+  for (const auto &[Fingerprint, Each] : m_entries)
+    for (std::uint64_t Crash : Each.m_crashes) {
+      Worst &W = m_worst[Crash];
+      if (Each.m_crashes.size() > W.m_strikes)
+        W = Worst{Each.m_crashes.size(), 0};
+      if (Each.m_crashes.size() == W.m_strikes)
+        ++W.m_count;
+    }
+  m_worstKnown = true;
+}
+
 unsigned CrashSuspects::suspicionOf(const Entry &E) {
-  if (!m_worstKnown) {
-    m_worst.clear();
-    for (const auto &[Fingerprint, Each] : m_entries)
-      for (std::uint64_t Crash : Each.m_crashes) {
-        std::size_t &Worst = m_worst[Crash];
-        Worst = std::max(Worst, Each.m_crashes.size());
-      }
-    m_worstKnown = true;
-  }
+  findWorst();
   return static_cast<unsigned>(std::count_if(
       E.m_crashes.begin(), E.m_crashes.end(), [&](std::uint64_t Crash) {
-        return m_worst[Crash] <= E.m_crashes.size();
+        return m_worst[Crash].m_strikes <= E.m_crashes.size();
       }));
 }
 
+bool CrashSuspects::isRefused(const Entry &E) {
+  if (E.m_crashes.size() < m_options.m_strikes)
+    return false;
+  findWorst();
+  return std::any_of(
+      E.m_crashes.begin(), E.m_crashes.end(), [&](std::uint64_t Crash) {
+        const Worst &W = m_worst[Crash];
+        return W.m_strikes == E.m_crashes.size() && W.m_count == 1;
+      });
+}
+
+bool CrashSuspects::refused(std::uint64_t Fingerprint, TimePoint Now) {
+  return strikes(Fingerprint, Now) >= m_options.m_strikes &&
+         isRefused(m_entries.at(Fingerprint));
+}
+
+void CrashSuspects::onRefused(std::uint64_t Fingerprint) {
+  const auto It = m_entries.find(Fingerprint);
+  if (It != m_entries.end())
+    It->second.m_own = true;
+}
+
 unsigned CrashSuspects::suspicion(std::uint64_t Fingerprint, TimePoint Now) {
   return strikes(Fingerprint, Now) == 0
              ? 0
              : suspicionOf(m_entries.at(Fingerprint));
 }
 
+std::vector<SuspectState> CrashSuspects::list(TimePoint Now) {
+  std::vector<SuspectState> Out;
+  for (const auto &[Fingerprint, E] : m_entries)
+    if (!E.m_crashes.empty() && Now - E.m_lastStrike < m_options.m_refusal)
+      Out.push_back({Fingerprint, static_cast<unsigned>(E.m_crashes.size()),
+                     suspicionOf(E), isRefused(E),
+                     remaining(Fingerprint, Now)});
+  std::sort(Out.begin(), Out.end(),
+            [](const SuspectState &A, const SuspectState &B) {
+              return std::make_pair(B.m_strikes, A.m_fingerprint) <
+                     std::make_pair(A.m_strikes, B.m_fingerprint);
+            });
+  return Out;
+}
+
 Duration CrashSuspects::remaining(std::uint64_t Fingerprint,
                                   TimePoint Now) const {
   auto It = m_entries.find(Fingerprint);
@@ -196,9 +256,9 @@
 }
 
 bool CrashSuspects::competes(std::uint64_t Fingerprint, const Entry &E,
-                             unsigned Suspicion, TimePoint Now) const {
-  if (Suspicion == 0 || E.m_crashes.size() >= m_options.m_strikes ||
-      Now - E.m_lastHeard >= m_options.m_contention)
+                             unsigned Suspicion, TimePoint Now) {
+  if (Suspicion == 0 || Now - E.m_lastHeard >= m_options.m_contention ||
+      isRefused(E))
     return false;
   // One with two strikes may run from several daemons, because its caller
   // sends it again through all of them: it competes also if it is held here.
@@ -210,7 +270,8 @@
   const unsigned Own = suspicion(Fingerprint, Now);
   if (Own == 0)
     return true;
-  if (Now - m_entries.at(Fingerprint).m_lastStrike < m_options.m_settle)
+  if (Own >= m_options.m_settleFrom &&
+      Now - m_entries.at(Fingerprint).m_lastStrike < m_options.m_settle)
     return false;
   unsigned Beside = 0;
   auto Running = m_running.find(Endpoint);
--- a/src/libadmission/suspects_test.cpp
+++ b/src/libadmission/suspects_test.cpp
@@ -16,16 +16,24 @@
 /// The earliest start of one that was struck at Start.
 const TimePoint Settled = Start + SuspectOptions().m_settle;
 
-CrashSuspects suspects() {
-  return std::move(CrashSuspects::create({})).value();
+CrashSuspects suspects(const SuspectOptions &Options = {}) {
+  return std::move(CrashSuspects::create(Options)).value();
+}
+
+/// Those with one strike neither wait nor are limited.
+SuspectOptions apartFromTwoStrikes() {
+  SuspectOptions Options;
+  Options.m_group = 1000;
+  Options.m_settleFrom = 2;
+  return Options;
 }
 
 /// Several daemons that exchange their strikes at once.
 struct Daemons {
   std::vector<CrashSuspects> m_list;
-  explicit Daemons(std::size_t Count) {
+  explicit Daemons(std::size_t Count, const SuspectOptions &Options = {}) {
     for (std::size_t I = 0; I < Count; ++I)
-      m_list.push_back(suspects());
+      m_list.push_back(suspects(Options));
   }
   void exchange(TimePoint Now) {
     for (std::size_t I = 0; I < m_list.size(); ++I)
@@ -178,6 +186,66 @@
   EXPECT_EQ(S.addFromPeer(7, 4, Start), 1U);
 }
 
+// Guards against a harmless request, sent by many callers, that is refused
+// because it ran at all endpoints when a crashing one ended them; and against
+// a crashing one that is never told apart from it.
+TEST(CrashSuspects, ThoseThatAlwaysCrashedTogetherRunOnceMoreApart) {
+  CrashSuspects S = suspects();
+  for (std::uint64_t F : {1, 2})
+    for (std::uint64_t Crash : {1, 2, 3})
+      S.strike(F, Crash, Start);
+  EXPECT_FALSE(S.refused(1, Start));
+  EXPECT_FALSE(S.refused(2, Start));
+  EXPECT_TRUE(S.mayRun(1, "e", Settled) != S.mayRun(2, "e", Settled));
+  S.strike(1, 4, Settled);
+  EXPECT_TRUE(S.refused(1, Settled));
+  EXPECT_FALSE(S.refused(2, Settled));
+  EXPECT_EQ(S.suspicion(2, Settled), 0U);
+  EXPECT_TRUE(S.mayRun(2, "e", Settled));
+}
+
+// Guards against harmless requests that wait after the first crash beside them.
+TEST(CrashSuspects, WaitMayBeginWithTheSecondStrike) {
+  CrashSuspects S = suspects(apartFromTwoStrikes());
+  for (std::uint64_t F = 1; F <= 50; ++F) {
+    S.strike(F, 1, Start);
+    EXPECT_TRUE(S.mayRun(F, "e", Start)) << F;
+    S.onStarted(F, "e");
+  }
+  S.strike(7, 2, Start);
+  EXPECT_FALSE(S.mayRun(7, "f", Start));
+  EXPECT_TRUE(S.mayRun(7, "f", Settled));
+  S.strike(7, 3, Settled);
+  EXPECT_TRUE(S.refused(7, Settled));
+}
+
+// Guards against a peer that starts later and runs what all others refuse.
+TEST(CrashSuspects, RefusalThatIsMetIsRepeated) {
+  SuspectOptions Options;
+  Options.m_refusalRepeat = Seconds(100);
+  CrashSuspects S = suspects(Options);
+  for (std::uint64_t Crash : {1, 2, 3})
+    S.addFromPeer(7, Crash, Start);
+  EXPECT_TRUE(S.repeats(Start + Seconds(1)).empty());
+  S.onRefused(7);
+  EXPECT_EQ(S.repeats(Start + Seconds(99)).size(), 3U);
+  EXPECT_TRUE(S.repeats(Start + Seconds(100)).empty());
+}
+
+// Guards against a strike that stays although its endpoint turns out to live,
+// and against one that comes back with a repetition.
+TEST(CrashSuspects, StrikesOfALivingEndpointAreDropped) {
+  CrashSuspects S = suspects();
+  for (std::uint64_t Crash : {1, 2, 3})
+    S.strike(7, Crash, Start);
+  S.onAlive(2, Start);
+  EXPECT_TRUE(S.refused(7, Start + Seconds(1)));
+  S.onAlive(2, Start + Seconds(1));
+  EXPECT_FALSE(S.refused(7, Start + Seconds(1)));
+  EXPECT_EQ(S.addFromPeer(7, 2, Start + Seconds(2)), 2U);
+  EXPECT_EQ(S.addFromPeer(7, 4, Start + Seconds(2)), 3U);
+}
+
 // Guards against an operator's word that does not lift a refusal.
 TEST(CrashSuspects, OperatorClears) {
   CrashSuspects S = suspects();
@@ -327,8 +395,8 @@
 /// are done; returns how many endpoints crashed.
 unsigned runBatch(std::vector<Resent> &Requests, std::uint64_t Crasher,
                   std::size_t Endpoints, std::size_t DaemonCount,
-                  std::mt19937_64 &Random) {
-  Daemons D(DaemonCount);
+                  std::mt19937_64 &Random, const SuspectOptions &Options = {}) {
+  Daemons D(DaemonCount, Options);
   for (const Resent &R : Requests)
     D.m_list[R.m_daemon].hold(R.m_fingerprint);
   TimePoint Now = Start;
@@ -380,15 +448,17 @@
 // bound, and against innocents of its batch refused or waiting for ever.
 TEST(CrashSuspects, InnocentsOfABatchAreNotRefused) {
   constexpr std::uint64_t Crasher = 17;
-  for (std::uint64_t Seed = 1; Seed <= 20; ++Seed) {
-    std::mt19937_64 Random(Seed);
-    std::vector<Resent> Requests;
-    for (std::uint64_t F = 1; F <= 32; ++F)
-      Requests.push_back({F, F % 4});
-    EXPECT_LE(runBatch(Requests, Crasher, 3, 4, Random), 3U);
-    for (const Resent &R : Requests) {
-      EXPECT_TRUE(R.m_done) << "seed " << Seed << " " << R.m_fingerprint;
-      EXPECT_EQ(R.m_refused, R.m_fingerprint == Crasher);
+  for (const SuspectOptions &Options :
+       {SuspectOptions(), apartFromTwoStrikes()})
+    for (std::uint64_t Seed = 1; Seed <= 20; ++Seed) {
+      std::mt19937_64 Random(Seed);
+      std::vector<Resent> Requests;
+      for (std::uint64_t F = 1; F <= 32; ++F)
+        Requests.push_back({F, F % 4});
+      EXPECT_LE(runBatch(Requests, Crasher, 3, 4, Random, Options), 3U);
+      for (const Resent &R : Requests) {
+        EXPECT_TRUE(R.m_done) << "seed " << Seed << " " << R.m_fingerprint;
+        EXPECT_EQ(R.m_refused, R.m_fingerprint == Crasher);
+      }
     }
-  }
 }
