--- a/src/libgateway/attempt.h
+++ b/src/libgateway/attempt.h
@@ -69,6 +69,7 @@
   PlacedBy m_placedBy = PlacedBy::Local;
   CoordinatorTicket m_coordinatorTicket; ///< If a coordinator placed it.
   std::uint64_t m_incarnation = 0;       ///< Of the endpoint.
+  std::string m_address;                 ///< Of the endpoint.
   ConnectionPtr m_connection;            ///< Null before it is sent.
   TimePoint m_sentAt{};
   /// The request was sent completely, so the attempt can be resumed.
@@ -83,7 +84,8 @@
   unsigned m_eventBatches = 0; ///< Reads with events.
   bool m_stalled = false;      ///< It exceeded the route's gap target.
   unsigned m_status = 0;       ///< Of the response; 0 if none.
-  bool m_closedByPeer = false; ///< It failed without a timeout.
+  /// The endpoint closed the connection before the end of its response.
+  bool m_closedByPeer = false;
   /// Another endpoint responded at the address of the chosen one.
   bool m_endpointReplaced = false;
   /// What it has shown so far, for its coordinator.
--- a/src/libgateway/connections.cpp
+++ b/src/libgateway/connections.cpp
@@ -31,6 +31,13 @@
 /// Longest idle time that a peer's header is read as.
 constexpr long MaxIdleSeconds = 86'400;
 
+/// Whether the peer closed or reset the connection; not if it cannot be
+/// reached.
+bool isClose(std::error_code Ec) {
+  return Ec == asio::error::eof || Ec == asio::error::connection_reset ||
+         Ec == asio::error::broken_pipe;
+}
+
 Duration idleLimitOf(const HttpHead &Head) {
   const std::string *Value = Head.find("keep-alive");
   if (!Value)
@@ -116,6 +123,7 @@
       m_open = false;
       if (Ec == asio::error::eof && m_reader.finishAtEnd())
         co_return boost::outcome_v2::success();
+      m_closedByPeer = isClose(Ec);
       co_return makeError(
           ErrorKind::Closed,
           "the connection was closed before the end of the response: " +
@@ -174,10 +182,22 @@
     Idle->m_reader.reset();
     co_return Idle;
   }
-  Result<asio::ip::tcp::endpoint> Target = parseAddress(Address);
-  if (!Target)
-    co_return Target.error();
   auto C = std::make_shared<Connection>(m_io, Key);
+  const std::error_code Ec = co_await open(C, Address, Timeout, SilenceTimeout);
+  if (Ec)
+    co_return makeError(ErrorKind::Unavailable, "no connection to " + Address +
+                                                    ": " + Ec.message() +
+                                                    "; use another endpoint");
+  co_return C;
+}
+
+/// Opens C; closes it and returns the error otherwise.
+asio::awaitable<std::error_code>
+ConnectionPool::open(ConnectionPtr C, std::string Address, Milliseconds Timeout,
+                     Milliseconds SilenceTimeout) {
+  const Result<asio::ip::tcp::endpoint> Target = parseAddress(Address);
+  if (!Target)
+    co_return make_error_code(std::errc::invalid_argument);
   Watchdog Guard(m_io);
   Guard.arm(C, std::chrono::steady_clock::now() + Timeout);
   std::error_code Ec;
@@ -185,17 +205,28 @@
   co_await C->m_socket.async_connect(
       Target.value(), asio::redirect_error(asio::use_awaitable, Ec));
   Guard.disarm();
-  if (Ec || Guard.fired()) {
+  if (Guard.fired())
+    Ec = asio::error::timed_out;
+  if (Ec) {
     C->close();
-    co_return makeError(
-        ErrorKind::Unavailable,
-        "no connection to " + Address + ": " +
-            (Guard.fired() ? std::string("timed out") : Ec.message()) +
-            "; use another endpoint");
+    co_return Ec;
   }
   prepareSocket(C->m_socket, SilenceTimeout);
   C->m_open = true;
-  co_return C;
+  co_return Ec;
+}
+
+asio::awaitable<ConnectOutcome>
+ConnectionPool::probe(std::string Key, std::string Address,
+                      Milliseconds Timeout, Milliseconds SilenceTimeout) {
+  auto C = std::make_shared<Connection>(m_io, Key);
+  const std::error_code Ec = co_await open(C, Address, Timeout, SilenceTimeout);
+  if (!Ec) {
+    releaseUnused(C, std::chrono::steady_clock::now());
+    co_return ConnectOutcome::Accepted;
+  }
+  co_return Ec == asio::error::connection_refused ? ConnectOutcome::Refused
+                                                  : ConnectOutcome::Unreachable;
 }
 
 void ConnectionPool::watchIdle(const ConnectionPtr &C) {
--- a/src/libgateway/connections.h
+++ b/src/libgateway/connections.h
@@ -61,6 +61,8 @@
   std::string m_input; ///< Received but not yet parsed.
   bool m_reused = false;
   bool m_open = false;
+  /// The peer closed or reset it before the end of a response.
+  bool m_closedByPeer = false;
   bool m_sent = false; ///< Bytes of the current request may have been sent.
   /// Idle time after which the peer closes it.
   Duration m_idleLimit = DefaultIdleLimit;
@@ -72,6 +74,13 @@
 };
 using ConnectionPtr = std::shared_ptr<Connection>;
 
+/// How an attempt to open a connection ended.
+enum class ConnectOutcome {
+  Accepted,
+  Refused,    ///< Nothing listens at the address.
+  Unreachable ///< No answer in time, or another error.
+};
+
 /// An idle connection is closed this long before the peer would close it, so
 /// that no request races with the close.
 inline constexpr Milliseconds IdleMargin{500};
@@ -85,6 +94,11 @@
                                                  std::string Address,
                                                  Milliseconds Timeout,
                                                  Milliseconds SilenceTimeout);
+  /// Opens a new connection to Address, whatever is idle, and keeps it for
+  /// later requests of Key.
+  asio::awaitable<ConnectOutcome> probe(std::string Key, std::string Address,
+                                        Milliseconds Timeout,
+                                        Milliseconds SilenceTimeout);
   /// Returns a connection to the pool if its response is complete and it can be
   /// reused; closes it otherwise.
   void release(const ConnectionPtr &C, TimePoint Now);
@@ -98,6 +112,9 @@
   unsigned inUse(const std::string &Key) const;
 
 private:
+  asio::awaitable<std::error_code> open(ConnectionPtr C, std::string Address,
+                                        Milliseconds Timeout,
+                                        Milliseconds SilenceTimeout);
   void addIdle(const ConnectionPtr &C, TimePoint Now);
   void watchIdle(const ConnectionPtr &C);
   ConnectionPtr acquireIdle(const std::string &Key);
--- a/src/libgateway/core.cpp
+++ b/src/libgateway/core.cpp
@@ -1,8 +1,11 @@
 // Dispatch and retry operations on the shared gateway state.
 #include "libgateway/core.h"
+#include "libgateway/attempt.h"
 #include "libgateway/log.h"
 #include "libgateway/schedulerclient.h"
 
+#include <fmt/format.h>
+
 namespace primroseworks::gateway {
 
 Core::Core(asio::io_context &Io, Settings Options, const Dialect &Platform,
@@ -10,7 +13,8 @@
     : m_io(Io), m_settings(std::move(Options)), m_dialect(Platform),
       m_metrics(Metrics::create()),
       m_chooser(m_settings.m_failureDomain, m_settings.m_regions), m_pool(Io),
-      m_suspects(std::move(Suspects)), m_random(std::random_device{}()) {}
+      m_suspects(std::move(Suspects)), m_endpointProbe(Io, m_pool),
+      m_random(std::random_device{}()) {}
 
 Choice Core::choose(const ChoiceQuery &Query, TimePoint Now) const {
   if (!m_configuration)
@@ -146,6 +150,61 @@
     onNotice(Id, *Notice, NoticeSource::Response, Now);
 }
 
+/// Counts an end against the requests whose attempts it broke off.
+void Core::strike(const FoundEnd &End, EndEvidence Evidence, TimePoint Now) {
+  const EndpointIncarnation &Which = End.m_incarnation;
+  const std::uint64_t Crash =
+      CrashSuspects::crashId(Which.m_endpoint, Which.m_incarnation + 1);
+  m_metrics->count(std::string("endpoint_end_") +
+                   std::string(nameOf(EndEvidenceNames, Evidence)));
+  for (const std::uint64_t Fingerprint : End.m_fingerprints) {
+    const unsigned Strikes = m_suspects.strike(Fingerprint, Crash, Now);
+    m_metrics->count("crash_strike");
+    decisionlog::line(LogClass::Failure, "crash_strike")
+        .text("fingerprint", fmt::format("{:016x}", Fingerprint))
+        .text("endpoint", Which.m_endpoint)
+        .number("incarnation", static_cast<std::int64_t>(Which.m_incarnation))
+        .text("evidence", nameOf(EndEvidenceNames, Evidence))
+        .number("strikes", Strikes)
+        .number("suspicion", m_suspects.suspicion(Fingerprint, Now))
+        .number("refused", m_suspects.refused(Fingerprint, Now) ? 1 : 0);
+  }
+  if (m_onStrike)
+    m_onStrike();
+}
+
+asio::awaitable<void> Core::onBroken(std::uint64_t Fingerprint,
+                                     EndpointIncarnation Which,
+                                     std::string Address) {
+  const Endpoint *E = m_endpoints.find(Which.m_endpoint);
+  // An endpoint that leaves ends as planned, and so does one whose record was
+  // removed before it ended.
+  if (!E || (E->m_record.m_incarnation == Which.m_incarnation && E->leaving()))
+    co_return;
+  if (m_brokenAttempts.onBroken(Fingerprint, Which, Address, clockNow())) {
+    strike({Which, {Fingerprint}}, EndEvidence::Refused, clockNow());
+    co_return;
+  }
+  if (E->m_record.m_incarnation > Which.m_incarnation) {
+    onRecord(E->m_record, clockNow());
+    co_return;
+  }
+  const std::string Key = Which.m_endpoint + '@' + Address;
+  const ConnectOutcome Outcome =
+      co_await m_endpointProbe.ask(Key, Address, EndpointUnresponsiveTimeout);
+  if (Outcome != ConnectOutcome::Refused)
+    co_return;
+  const FoundEnd End = m_brokenAttempts.onRefused(Which, clockNow());
+  if (!End.m_fingerprints.empty())
+    strike(End, EndEvidence::Refused, clockNow());
+}
+
+void Core::onRecord(const EndpointRecord &Record, TimePoint Now) {
+  m_endpoints.onRecord(Record, Now);
+  for (const FoundEnd &End : m_brokenAttempts.onRecord(Record, Now))
+    strike(End, EndEvidence::Replaced, Now);
+}
+
 void Core::rejectWaiting() {
   m_rejectingWaiting = true;
   std::vector<Waiter *> Waiters;
--- a/src/libgateway/core.h
+++ b/src/libgateway/core.h
@@ -3,10 +3,12 @@
 #ifndef PRIMROSEWORKS_LIBGATEWAY_CORE_H
 #define PRIMROSEWORKS_LIBGATEWAY_CORE_H
 
+#include "libgateway/brokenattempts.h"
 #include "libgateway/chooser.h"
 #include "libgateway/connections.h"
 #include "libgateway/demand.h"
 #include "libgateway/dialect.h"
+#include "libgateway/endpointprobe.h"
 #include "libgateway/endpoints.h"
 #include "libgateway/metrics.h"
 #include "libgateway/retrywindow.h"
@@ -15,6 +17,7 @@
 #include "primroseworks/suspects.h"
 
 #include <functional>
+#include <limits>
 #include <map>
 #include <memory>
 #include <random>
@@ -51,6 +54,17 @@
   Duration m_expectedWait{};
 };
 
+/// How a gateway treats crash suspects. A crash strikes all requests that ran
+/// at its endpoint, mostly harmless ones whose callers wait: those with one
+/// strike go on at once. From the second one on, suspects run apart.
+inline SuspectOptions gatewaySuspectOptions() {
+  SuspectOptions Options;
+  Options.m_group = std::numeric_limits<unsigned>::max();
+  Options.m_settleFrom = 2;
+  Options.m_refusalRepeat = Options.m_refusal;
+  return Options;
+}
+
 class SchedulerClient;
 
 class Core {
@@ -85,6 +99,13 @@
   /// Takes what a response of an endpoint says of the endpoint itself.
   void onResponse(const std::string &Id, std::uint64_t Incarnation,
                   const HttpHead &Head, TimePoint Now);
+  /// An endpoint closed the connection of an attempt that it had not answered.
+  /// Finds out whether it has ended, which counts against the request.
+  asio::awaitable<void> onBroken(std::uint64_t Fingerprint,
+                                 EndpointIncarnation Which,
+                                 std::string Address);
+  /// Takes an endpoint's record from the store.
+  void onRecord(const EndpointRecord &Record, TimePoint Now);
   /// Rejects all waiting requests, and from then on those that would have to
   /// wait.
   void rejectWaiting();
@@ -107,6 +128,8 @@
   std::map<TicketId, Waiter *> m_waiters; ///< Of the tickets in m_queue.
   ConnectionPool m_pool;
   CrashSuspects m_suspects;
+  BrokenAttempts m_brokenAttempts;
+  EndpointProbe m_endpointProbe;
   LocalDemand m_demand;
   FleetDemand m_fleetDemand;
   unsigned m_gatewayCount = 1; ///< Known gateways, including this one.
@@ -121,11 +144,14 @@
   /// Sends direct peers an immediate update after this VM's load at an endpoint
   /// changed.
   std::function<void(const std::string &)> m_onLoadChanged;
+  std::function<void()> m_onStrike; ///< Tells the peers of new strikes at once.
   std::function<void()>
       m_onAdapterWanted; ///< Reports to the leader immediately.
   std::mt19937_64 m_random;
 
 private:
+  void strike(const FoundEnd &End, EndEvidence Evidence, TimePoint Now);
+
   std::map<std::string, RetryWindow> m_retries; ///< By service.
 };
 
--- a/src/libgateway/exchange.cpp
+++ b/src/libgateway/exchange.cpp
@@ -189,6 +189,7 @@
               nameOf(ChoiceObstacleNames, m_attempt.m_choice.m_obstacle)));
     const AttemptOutcome Outcome =
         Acquired ? co_await attempt() : co_await resumeSilentAttempt();
+    co_await examineBreak(Outcome);
     const TimePoint Now = clockNow();
     endAttempt(Outcome, Now);
     if (Outcome == AttemptOutcome::Delivered)
--- a/src/libgateway/exchange.h
+++ b/src/libgateway/exchange.h
@@ -53,6 +53,7 @@
   asio::awaitable<AttemptOutcome> attempt();
   asio::awaitable<AttemptOutcome> resumeSilentAttempt();
   asio::awaitable<AttemptOutcome> readAnswer();
+  asio::awaitable<void> examineBreak(AttemptOutcome Outcome);
   void limitAttempt(TimePoint Until);
   void onAttemptTimeout(TimePoint Now);
   bool canResume(AttemptOutcome Outcome) const;
--- a/src/libgateway/exchangeattempt.cpp
+++ b/src/libgateway/exchangeattempt.cpp
@@ -199,6 +199,7 @@
   if (E->m_keptUntil)
     m_core.m_metrics->count("sent_to_lapsed_endpoint");
   m_attempt.m_incarnation = E->m_record.m_incarnation;
+  m_attempt.m_address = Address;
   m_attempt.m_connection = C;
   m_attempt.m_sentAt = Now;
   ++m_sentAttempts;
@@ -226,14 +227,16 @@
       m_core.m_endpoints.onFirstByte(m_attempt.m_choice.m_endpoint, Latency);
       m_attempt.m_observation.m_firstByteMs = toMillis(Latency);
     }
+    m_core.m_brokenAttempts.onAnswered(
+        {m_attempt.m_choice.m_endpoint, m_attempt.m_incarnation},
+        m_attempt.m_sentAt);
     const bool IsStream =
         m_route->m_kind == RouteKind::Stream && C->m_reader.head().isSuccess();
     Outcome = IsStream ? co_await relayEvents(C) : co_await readResponse(C);
   } else if (m_attemptTimer.fired()) {
     Outcome = AttemptOutcome::Silent;
   }
-  m_attempt.m_closedByPeer =
-      Outcome == AttemptOutcome::Broken && !m_attemptTimer.fired();
+  m_attempt.m_closedByPeer = C->m_closedByPeer;
   m_attemptTimer.disarm();
   if (m_callerGone)
     co_return AttemptOutcome::CallerGone;
@@ -243,6 +246,17 @@
   co_return Outcome;
 }
 
+/// Finds out whether an endpoint that broke off the attempt has ended.
+asio::awaitable<void> Exchange::examineBreak(AttemptOutcome Outcome) {
+  const bool NoAnswer =
+      Outcome == AttemptOutcome::Broken || Outcome == AttemptOutcome::Silent;
+  if (!NoAnswer || !m_attempt.m_closedByPeer)
+    co_return;
+  const EndpointIncarnation Which{m_attempt.m_choice.m_endpoint,
+                                  m_attempt.m_incarnation};
+  co_await m_core.onBroken(m_fingerprint, Which, m_attempt.m_address);
+}
+
 /// Whether the endpoint may still answer the attempt, since it was only left
 /// for another endpoint.
 bool Exchange::canResume(AttemptOutcome Outcome) const {
@@ -543,20 +557,13 @@
     m_attempt.m_observation.m_intervalMs =
         toMillis(m_lastEventsAt - m_attempt.m_firstEventsAt) /
         (m_attempt.m_eventBatches - 1);
-  if (Outcome == AttemptOutcome::Broken && m_attempt.m_closedByPeer &&
-      m_engineService)
-    if (const Endpoint *E = Table.find(Id))
-      m_core.m_suspects.strike(
-          m_fingerprint,
-          CrashSuspects::crashId(Id, E->m_record.m_incarnation + 1), Now);
   if (Outcome == AttemptOutcome::Delivered)
     return;
   const Endpoint *E = Table.find(Id);
   decisionlog::line(LogClass::Failure, "attempt")
       .text("id", m_requestMetadata.m_id)
       .text("endpoint", Id)
-      .number("incarnation",
-              static_cast<std::int64_t>(m_attempt.m_incarnation))
+      .number("incarnation", static_cast<std::int64_t>(m_attempt.m_incarnation))
       .text("end", nameOf(AttemptOutcomeNames, Outcome))
       .number("closed_by_peer", m_attempt.m_closedByPeer ? 1 : 0)
       .text("fingerprint", fmt::format("{:016x}", m_fingerprint))
--- a/src/libgateway/gateway.cpp
+++ b/src/libgateway/gateway.cpp
@@ -309,6 +309,7 @@
     if (Count % 4 != 0)
       continue;
     m_core.m_endpoints.expire(Now);
+    m_core.m_brokenAttempts.expire(Now);
     m_scheduler.expire(reportLifetime(m_core.m_gatewayCount), Now);
     m_core.m_pool.expire(Now);
     m_storePool.expire(Now);
--- a/src/libgateway/gatewaystore.cpp
+++ b/src/libgateway/gatewaystore.cpp
@@ -139,7 +139,7 @@
         .text("state", Draining ? "draining" : "ready")
         .number("revision", static_cast<std::int64_t>(Change.m_revision))
         .real("confirmed_ms_ago", confirmedMsAgo(Now));
-  m_core.m_endpoints.onRecord(Record.value(), Now);
+  m_core.onRecord(Record.value(), Now);
 }
 
 void Gateway::applyEndpoints(const StoreRange &List, TimePoint ReadAt) {
--- a/src/primrose-gateway/main.cpp
+++ b/src/primrose-gateway/main.cpp
@@ -39,7 +39,8 @@
   gateway::ConnectionPool StorePool(Io);
   const std::unique_ptr<gateway::MetadataStore> Store =
       platform::createPlatformStore(Io, StorePool, Settings.m_store);
-  Result<CrashSuspects> Suspects = CrashSuspects::create(SuspectOptions());
+  Result<CrashSuspects> Suspects =
+      CrashSuspects::create(gateway::gatewaySuspectOptions());
   if (!Suspects) {
     std::cerr << Suspects.error().m_message << "\n";
     return ExitFailure;
