--- a/src/libgateway/attempt.h
+++ b/src/libgateway/attempt.h
@@ -17,16 +17,18 @@
   Delivered,    ///< The response was forwarded to the caller.
   NotConnected, ///< No connection; nothing was sent.
   NotSent,      ///< The endpoint no longer accepts requests; nothing was sent.
+  HeldBack,     ///< A crash suspect that may not run there; nothing was sent.
   NotRun,       ///< The endpoint stated that it did not run the request.
   Failure,      ///< A complete response that reports a failure.
   Broken,       ///< The response was truncated or invalid.
   Silent,       ///< No response, or no further event, before the timeout.
   CallerGone    ///< The caller closed its connection.
 };
-inline constexpr NameTable<AttemptOutcome, 8> AttemptOutcomeNames = {
+inline constexpr NameTable<AttemptOutcome, 9> AttemptOutcomeNames = {
     {{AttemptOutcome::Delivered, "delivered"},
      {AttemptOutcome::NotConnected, "not_connected"},
      {AttemptOutcome::NotSent, "not_sent"},
+     {AttemptOutcome::HeldBack, "held_back"},
      {AttemptOutcome::NotRun, "not_run"},
      {AttemptOutcome::Failure, "failure"},
      {AttemptOutcome::Broken, "broken"},
@@ -58,6 +60,9 @@
 inline constexpr std::size_t MaxEventBytes = 1'048'576;
 /// Interim responses (1xx) that are skipped before a response.
 inline constexpr unsigned MaxInterimResponses = 8;
+/// A crash suspect that may not run at an endpoint is looked at again after
+/// this time.
+inline constexpr Milliseconds SuspectCheckInterval{50};
 /// A silent attempt is kept for this long after the request was sent to another
 /// endpoint, which usually refuses sooner if it does not take it.
 inline constexpr Milliseconds SilentAttemptLifetime{300};
@@ -86,6 +91,8 @@
   unsigned m_status = 0;       ///< Of the response; 0 if none.
   /// The endpoint closed the connection before the end of its response.
   bool m_closedByPeer = false;
+  /// It was sent and counts among the runs at its endpoint.
+  bool m_running = false;
   /// Another endpoint responded at the address of the chosen one.
   bool m_endpointReplaced = false;
   /// What it has shown so far, for its coordinator.
--- a/src/libgateway/exchange.cpp
+++ b/src/libgateway/exchange.cpp
@@ -94,6 +94,8 @@
 
 /// Ends an attempt's use of its endpoint.
 void Exchange::releaseEndpoint(const Attempt &A, TimePoint Now) {
+  if (A.m_running)
+    m_core.m_suspects.onEnded(m_fingerprint, A.m_choice.m_endpoint);
   m_core.release(A.m_choice.m_endpoint, m_query, A.m_placedBy, A.m_prefillDone,
                  Now);
   if (A.m_placedBy == PlacedBy::Coordinator)
@@ -166,22 +168,24 @@
   if (!m_route)
     co_return co_await sendLocalResponse(404, "no_route", Duration::zero());
   initFromRequest(Start);
-  // A retried request that crashed several endpoints has the same method,
-  // target, model and body, and so the same fingerprint.
-  if (m_core.m_suspects.refused(m_fingerprint, Start))
-    co_return co_await sendLocalResponse(
-        503, "crashes_endpoints",
-        m_core.m_suspects.remaining(m_fingerprint, Start));
   bool MaySend = true;
   for (;;) {
-    if (clockNow() >= m_deadline)
+    const TimePoint Begin = clockNow();
+    if (Begin >= m_deadline)
       co_return co_await fail("time_limit");
-    const bool Acquired = MaySend && co_await acquireEndpoint();
+    // A retried request that crashed several endpoints has the same method,
+    // target, model and body, and so the same fingerprint.
+    const bool Refused = m_core.m_suspects.refused(m_fingerprint, Begin);
+    if (Refused && !m_silentAttempt)
+      co_return co_await rejectSuspect(Begin);
+    const bool Acquired = MaySend && !Refused && co_await acquireEndpoint();
     if (m_callerGone) {
       if (Acquired)
         releaseEndpoint(m_attempt, clockNow());
       co_return false;
     }
+    if (!Acquired && !m_silentAttempt && co_await waitHeldBack())
+      continue;
     if (!Acquired && !m_silentAttempt)
       co_return co_await rejectNotRun(
           std::string("no_endpoint_") +
@@ -196,17 +200,55 @@
       co_return true;
     if (m_callerGone || Outcome == AttemptOutcome::CallerGone)
       co_return false;
+    if (!m_silentAttempt && heldBackTwice(Outcome) && !co_await waitHeldBack())
+      co_return !m_callerGone && co_await rejectNotRun("suspect_held_back");
     MaySend = mayTryAgain(Outcome, Now);
     if (!MaySend && !m_silentAttempt)
       co_return co_await finishAfterAttempt(Outcome);
   }
 }
 
+/// Rejects a request that crashed too many endpoints.
+asio::awaitable<bool> Exchange::rejectSuspect(TimePoint Now) {
+  const std::string Reason = "crashes_endpoints";
+  m_core.m_suspects.onRefused(m_fingerprint);
+  if (m_mayHaveRun || m_committed)
+    co_return co_await fail(Reason);
+  co_return co_await sendLocalResponse(
+      503, Reason, m_core.m_suspects.remaining(m_fingerprint, Now));
+}
+
+/// Whether the endpoint that was chosen held the request back before, so that
+/// no other one is left.
+bool Exchange::heldBackTwice(AttemptOutcome Outcome) const {
+  return Outcome == AttemptOutcome::HeldBack &&
+         std::count(m_heldBackAt.begin(), m_heldBackAt.end(),
+                    m_attempt.m_choice.m_endpoint) > 1;
+}
+
+/// Waits until a crash suspect that was held back may be looked at again.
+/// Returns false if it was not held back or there is no time to wait.
+asio::awaitable<bool> Exchange::waitHeldBack() {
+  const TimePoint Now = clockNow();
+  if (m_heldBackAt.empty() || m_callerGone ||
+      maxEndpointWait(Now) < SuspectCheckInterval)
+    co_return false;
+  m_core.m_metrics->count("suspect_held_back");
+  co_await waitForEndpoint(Now + SuspectCheckInterval);
+  auto &Excluded = m_query.m_excluded;
+  for (const std::string &Id : std::exchange(m_heldBackAt, {}))
+    Excluded.erase(std::remove(Excluded.begin(), Excluded.end(), Id),
+                   Excluded.end());
+  co_return !m_callerGone;
+}
+
 /// Whether the request may be sent to another endpoint after this outcome.
 bool Exchange::mayTryAgain(AttemptOutcome Outcome, TimePoint Now) {
   if (Outcome == AttemptOutcome::NotConnected ||
       Outcome == AttemptOutcome::NotSent)
     return true;
+  if (Outcome == AttemptOutcome::HeldBack)
+    return !m_silentAttempt; // It goes on there instead.
   return (Outcome == AttemptOutcome::NotRun || m_route->mayRunAgain()) &&
          takeRetry(Now);
 }
--- a/src/libgateway/exchange.h
+++ b/src/libgateway/exchange.h
@@ -42,6 +42,10 @@
   asio::awaitable<bool> rejectUnconfigured(TimePoint Now);
   asio::awaitable<bool> finishAfterAttempt(AttemptOutcome Outcome);
   asio::awaitable<bool> acquireEndpoint();
+  asio::awaitable<bool> rejectSuspect(TimePoint Now);
+  asio::awaitable<bool> waitHeldBack();
+  bool heldBackTwice(AttemptOutcome Outcome) const;
+  bool mayRunAt(const std::string &Endpoint, TimePoint Now);
   asio::awaitable<bool> acquireFromCoordinator();
   asio::awaitable<void> waitForEndpoint(TimePoint Until);
   void place(const Choice &Placement, PlacedBy By);
@@ -120,6 +124,9 @@
   /// Armed while the endpoint tried next has the request.
   Watchdog m_silentAttemptTimer;
   std::unique_ptr<FailoverProbe> m_failover; ///< While the endpoint is silent.
+  /// Endpoints at which this request may not run now, as a crash suspect. They
+  /// are excluded until it waited for a while.
+  std::vector<std::string> m_heldBackAt;
   /// Expected wait for an endpoint when the request was last rejected.
   Duration m_expectedWait{};
   bool m_callerGone = false;
--- a/src/libgateway/exchangeattempt.cpp
+++ b/src/libgateway/exchangeattempt.cpp
@@ -196,8 +196,14 @@
     m_core.m_pool.releaseUnused(C, Now);
     co_return AttemptOutcome::NotSent;
   }
+  if (!mayRunAt(m_attempt.m_choice.m_endpoint, Now)) {
+    m_core.m_pool.releaseUnused(C, Now);
+    co_return AttemptOutcome::HeldBack;
+  }
   if (E->m_keptUntil)
     m_core.m_metrics->count("sent_to_lapsed_endpoint");
+  m_core.m_suspects.onStarted(m_fingerprint, m_attempt.m_choice.m_endpoint);
+  m_attempt.m_running = true;
   m_attempt.m_incarnation = E->m_record.m_incarnation;
   m_attempt.m_address = Address;
   m_attempt.m_connection = C;
@@ -246,6 +252,12 @@
   co_return Outcome;
 }
 
+/// Whether this request may run at Endpoint, as far as crash suspects go.
+bool Exchange::mayRunAt(const std::string &Endpoint, TimePoint Now) {
+  return !m_core.m_suspects.refused(m_fingerprint, Now) &&
+         m_core.m_suspects.mayRun(m_fingerprint, Endpoint, Now);
+}
+
 /// Finds out whether an endpoint that broke off the attempt has ended.
 asio::awaitable<void> Exchange::examineBreak(AttemptOutcome Outcome) {
   const bool NoAnswer =
@@ -272,7 +284,9 @@
   m_expectedWait = m_attempt.m_observation.m_pause;
   if (Outcome == AttemptOutcome::Delivered)
     m_failover.reset();
-  else
+  else if (Outcome == AttemptOutcome::HeldBack)
+    m_heldBackAt.push_back(m_attempt.m_choice.m_endpoint);
+  if (Outcome != AttemptOutcome::Delivered)
     m_query.m_excluded.push_back(m_attempt.m_choice.m_endpoint);
   if (canResume(Outcome)) {
     endSilentAttempt(Now);
@@ -540,6 +554,7 @@
       Table.onArtifactRejected(Id, m_query.m_model, m_query.m_adapter, Now);
     break;
   case AttemptOutcome::NotSent:
+  case AttemptOutcome::HeldBack:
     Health = AttemptHealth::Refused;
     break;
   case AttemptOutcome::NotConnected:
