--- a/src/libgateway/peers.cpp
+++ b/src/libgateway/peers.cpp
@@ -23,6 +23,7 @@
   m_core.m_onLoadChanged = [this](const std::string &Endpoint) {
     onLoadChanged(Endpoint);
   };
+  m_core.m_onStrike = [this] { sendStrikes(std::chrono::steady_clock::now()); };
 }
 
 Result<void> Peers::open() {
@@ -105,15 +106,70 @@
           E.m_held};
 }
 
+/// Adds a strike, or renews one that is there.
+void Peers::addRecent(std::vector<RecentStrike> &Strikes, const PeerStrike &S,
+                      TimePoint Now) {
+  const auto Known = std::find_if(
+      Strikes.begin(), Strikes.end(), [&S](const RecentStrike &Other) {
+        return Other.m_strike.m_fingerprint == S.m_fingerprint &&
+               Other.m_strike.m_crash == S.m_crash;
+      });
+  if (Known != Strikes.end())
+    Known->m_at = Now;
+  else if (Strikes.size() < RecentStrikesMax)
+    Strikes.push_back({S, Now});
+}
+
+/// Ends the repetition of a clearance, which would clear newer strikes.
+void Peers::dropClear(std::uint64_t Fingerprint) {
+  for (std::vector<RecentStrike> *Strikes : {&m_strikes, &m_peerStrikes})
+    Strikes->erase(std::remove_if(Strikes->begin(), Strikes->end(),
+                                  [Fingerprint](const RecentStrike &S) {
+                                    return S.m_strike.m_crash == 0 &&
+                                           S.m_strike.m_fingerprint ==
+                                               Fingerprint;
+                                  }),
+                   Strikes->end());
+}
+
+void Peers::dropOld(std::vector<RecentStrike> &Strikes, TimePoint Now) {
+  Strikes.erase(std::remove_if(Strikes.begin(), Strikes.end(),
+                               [Now](const RecentStrike &S) {
+                                 return Now - S.m_at > StrikeRepeatPeriod;
+                               }),
+                Strikes.end());
+}
+
+/// Updates the strikes of this VM that are told to the peers.
+void Peers::collectStrikes(TimePoint Now) {
+  dropOld(m_strikes, Now);
+  for (const auto &[Fingerprint, Crash] : m_core.m_suspects.take()) {
+    if (Crash != 0)
+      dropClear(Fingerprint);
+    addRecent(m_strikes, {Fingerprint, Crash}, Now);
+  }
+  if (Now - m_suspectsRepeatedAt < SuspectRepeatInterval)
+    return;
+  m_suspectsRepeatedAt = Now;
+  for (const auto &[Fingerprint, Crash] : m_core.m_suspects.repeats(Now))
+    addRecent(m_strikes, {Fingerprint, Crash}, Now);
+}
+
+void Peers::sendStrikes(TimePoint Now) {
+  collectStrikes(Now);
+  PeerReport Report = emptyReport(0);
+  Report.m_partial = true;
+  for (const RecentStrike &S : m_strikes)
+    Report.m_strikes.push_back(S.m_strike);
+  sendTo(Report, m_audience.receivers(m_leader, true));
+  sendTo(Report, m_audience.dependents());
+}
+
 PeerReport Peers::localReport(std::uint64_t LeaderToken, TimePoint Now) {
   PeerReport R = emptyReport(LeaderToken);
   R.m_loads = ownLoads();
   m_core.m_demand.fill(R, m_core.m_queue);
-  for (const auto &[Fingerprint, Crash] : m_core.m_suspects.take())
-    m_strikes.push_back({{Fingerprint, Crash}, Now});
-  while (!m_strikes.empty() &&
-         Now - m_strikes.front().m_at > StrikeRepeatPeriod)
-    m_strikes.erase(m_strikes.begin());
+  collectStrikes(Now);
   for (const RecentStrike &S : m_strikes)
     R.m_strikes.push_back(S.m_strike);
   for (auto It = m_changedHoldings.begin(); It != m_changedHoldings.end();) {
@@ -190,17 +246,11 @@
     if (Load.m_requests > 0)
       Report.m_fleetLoads.push_back({Id, Load});
   }
-  const auto AddRecent = [&](std::vector<RecentStrike> &Strikes) {
-    Strikes.erase(std::remove_if(Strikes.begin(), Strikes.end(),
-                                 [Now](const RecentStrike &S) {
-                                   return Now - S.m_at > StrikeRepeatPeriod;
-                                 }),
-                  Strikes.end());
-    for (const RecentStrike &S : Strikes)
+  for (std::vector<RecentStrike> *Strikes : {&m_strikes, &m_peerStrikes}) {
+    dropOld(*Strikes, Now);
+    for (const RecentStrike &S : *Strikes)
       Report.m_strikes.push_back(S.m_strike);
-  };
-  AddRecent(m_strikes);
-  AddRecent(m_peerStrikes);
+  }
   sendTo(Report, To);
 }
 
@@ -285,6 +335,29 @@
                                   Now + reportLifetime(m_core.m_gatewayCount));
 }
 
+/// Applies the strikes of a report. A coordinator passes new ones on at once,
+/// before their fingerprint may run again.
+void Peers::applyStrikes(const PeerReport &Report, TimePoint Now) {
+  std::vector<PeerStrike> New;
+  for (const PeerStrike &S : Report.m_strikes) {
+    const unsigned Before = m_core.m_suspects.strikes(S.m_fingerprint, Now);
+    const unsigned After =
+        m_core.m_suspects.addFromPeer(S.m_fingerprint, S.m_crash, Now);
+    if (After != Before)
+      New.push_back(S);
+    if (After > Before)
+      dropClear(S.m_fingerprint);
+    if (m_audience.isCoordinator())
+      addRecent(m_peerStrikes, S, Now);
+  }
+  if (New.empty() || !m_audience.isCoordinator())
+    return;
+  PeerReport Relayed = emptyReport(0);
+  Relayed.m_partial = true;
+  Relayed.m_strikes = std::move(New);
+  sendTo(Relayed, m_audience.dependents());
+}
+
 void Peers::apply(const PeerReport &Report, TimePoint Now) {
   ReportPosition &P = m_reportPositions[Report.m_sender];
   if (Report.m_start < P.m_start ||
@@ -297,11 +370,7 @@
   for (const PeerHolding &H : Report.m_holdings)
     m_core.m_endpoints.onAnnouncedHoldings(H.m_endpoint, H.m_incarnation,
                                            H.m_orders, H.m_held, Now);
-  for (const PeerStrike &S : Report.m_strikes) {
-    m_core.m_suspects.addFromPeer(S.m_fingerprint, S.m_crash, Now);
-    if (m_audience.isCoordinator())
-      m_peerStrikes.push_back({S, Now});
-  }
+  applyStrikes(Report, Now);
   if (!Report.m_partial)
     m_core.m_fleetDemand.onReport(Report, Now);
   const bool HasLoads = !Report.m_loads.empty() || !Report.m_fleetLoads.empty();
--- a/src/libgateway/peers.h
+++ b/src/libgateway/peers.h
@@ -31,6 +31,11 @@
 /// A crash is repeated in reports for this long, so that a lost datagram does
 /// not hide it.
 inline constexpr Milliseconds StrikeRepeatPeriod{2000};
+/// Interval at which the strikes of suspects that compete or are refused are
+/// told again, for gateways that were away or start later.
+inline constexpr Milliseconds SuspectRepeatInterval{1000};
+/// Most strikes that are kept for repetition.
+inline constexpr std::size_t RecentStrikesMax = 256;
 
 class Peers {
 public:
@@ -54,6 +59,9 @@
   void announceHoldings(std::uint64_t LeaderToken, TimePoint Now);
   /// Sends the total loads to the gateways that depend on this coordinator.
   void sendFleetLoads(TimePoint Now);
+  /// Sends new strikes to the other gateways, in a large fleet to the
+  /// coordinators.
+  void sendStrikes(TimePoint Now);
   /// Sends a message to a gateway; does nothing if it is unknown.
   void sendMessage(const std::string &Name, const SchedulingMessage &Message);
   /// Sends store changes to the gateways that depend on this coordinator.
@@ -89,6 +97,8 @@
   void onMessageBytes(const std::string &Bytes, const std::string &From);
   PeerReport emptyReport(std::uint64_t LeaderToken);
   PeerHolding holding(const Endpoint &E) const;
+  void collectStrikes(TimePoint Now);
+  void applyStrikes(const PeerReport &Report, TimePoint Now);
   std::vector<PeerEndpointLoad> ownLoads() const;
   void sendBytes(const std::string &Bytes, const Member &To);
   void sendTo(const PeerReport &Report, const std::vector<const Member *> &To);
@@ -121,7 +131,12 @@
     PeerStrike m_strike;
     TimePoint m_at{};
   };
+  static void addRecent(std::vector<RecentStrike> &Strikes, const PeerStrike &S,
+                        TimePoint Now);
+  void dropClear(std::uint64_t Fingerprint);
+  static void dropOld(std::vector<RecentStrike> &Strikes, TimePoint Now);
   std::vector<RecentStrike> m_strikes; ///< Repeated for StrikeRepeatPeriod.
+  TimePoint m_suspectsRepeatedAt{};
   /// Strikes from reports, which a coordinator passes on to its dependents.
   std::vector<RecentStrike> m_peerStrikes;
   std::function<void(SchedulingMessage)> m_onMessage;
