--- a/src/libgateway/brokenattempts.h
+++ b/src/libgateway/brokenattempts.h
@@ -48,6 +48,10 @@
 /// An end counts for attempts that were broken off within this time before it
 /// was found. A process that starts again is registered within it.
 inline constexpr Milliseconds EndEvidencePeriod{5000};
+/// The record of an endpoint that has ended is gone within this time. One that
+/// is still there shows that connections were refused for another reason, such
+/// as a cut network.
+inline constexpr Milliseconds EndConfirmationPeriod{6000};
 /// Most broken attempts that are kept; beyond it, further ones are dropped.
 inline constexpr std::size_t BrokenAttemptsMax = 4096;
 
--- a/src/libgateway/core.cpp
+++ b/src/libgateway/core.cpp
@@ -199,6 +199,16 @@
     strike(End, EndEvidence::Refused, clockNow());
 }
 
+void Core::dropRefutedStrikes(TimePoint Now) {
+  if (m_suspects.size() == 0)
+    return;
+  for (const auto &[Id, E] : m_endpoints.all())
+    if (!E.m_keptUntil)
+      m_suspects.onAlive(
+          CrashSuspects::crashId(Id, E.m_record.m_incarnation + 1),
+          Now - EndConfirmationPeriod);
+}
+
 void Core::onRecord(const EndpointRecord &Record, TimePoint Now) {
   m_endpoints.onRecord(Record, Now);
   for (const FoundEnd &End : m_brokenAttempts.onRecord(Record, Now))
--- a/src/libgateway/core.h
+++ b/src/libgateway/core.h
@@ -104,6 +104,9 @@
   asio::awaitable<void> onBroken(std::uint64_t Fingerprint,
                                  EndpointIncarnation Which,
                                  std::string Address);
+  /// Drops strikes whose endpoint is still registered. To be called while the
+  /// list of endpoints is current.
+  void dropRefutedStrikes(TimePoint Now);
   /// Takes an endpoint's record from the store.
   void onRecord(const EndpointRecord &Record, TimePoint Now);
   /// Rejects all waiting requests, and from then on those that would have to
--- a/src/libgateway/gateway.cpp
+++ b/src/libgateway/gateway.cpp
@@ -310,6 +310,9 @@
       continue;
     m_core.m_endpoints.expire(Now);
     m_core.m_brokenAttempts.expire(Now);
+    if (!m_storeUnavailable && Now >= m_lapsedRecordsUntil &&
+        Now - m_core.m_copyConfirmedAt <= changeLimit())
+      m_core.dropRefutedStrikes(Now);
     m_scheduler.expire(reportLifetime(m_core.m_gatewayCount), Now);
     m_core.m_pool.expire(Now);
     m_storePool.expire(Now);
