--- a/src/libgateway/gateway.h
+++ b/src/libgateway/gateway.h
@@ -113,6 +113,7 @@
   void place(TimePoint Now);
   void validateSettings();
   std::string statusBody(bool Metrics, const HttpHead &Head, unsigned &Status);
+  std::string operatorPage(const HttpHead &Head, unsigned &Status);
   bool isReady() const;
   /// Fencing token of the leadership claim; 0 if no claim is valid now.
   std::uint64_t fencingToken() const;
--- a/src/libgateway/gatewaystatus.cpp
+++ b/src/libgateway/gatewaystatus.cpp
@@ -1,12 +1,14 @@
 // The status endpoints of a gateway: readiness and metrics.
 #include "libgateway/gateway.h"
 #include "libgateway/log.h"
+#include "libgateway/suspectspage.h"
 
 #include <asio/co_spawn.hpp>
 #include <asio/detached.hpp>
 #include <asio/redirect_error.hpp>
 #include <asio/use_awaitable.hpp>
 #include <asio/write.hpp>
+#include <fmt/format.h>
 #include <sys/resource.h>
 
 namespace primroseworks::gateway {
@@ -52,12 +54,27 @@
   }
 }
 
-std::string Gateway::statusBody(bool Metrics, const HttpHead &Head,
-                                unsigned &Status) {
-  if (Metrics) {
-    Status = 200;
+/// The metrics, and the requests that are suspected of ending endpoints.
+std::string Gateway::operatorPage(const HttpHead &Head, unsigned &Status) {
+  Status = 200;
+  const std::string Path(Head.path());
+  if (Path.rfind(SuspectsPath, 0) != 0)
     return m_core.m_metrics->text();
+  const SuspectsReply Reply =
+      answerSuspects(Head.m_method, Path, m_core.m_suspects, clockNow());
+  Status = Reply.m_status;
+  if (Reply.m_cleared) {
+    decisionlog::line(LogClass::Lifecycle, "suspect_cleared")
+        .text("fingerprint", fmt::format("{:016x}", *Reply.m_cleared));
+    m_peers.sendStrikes(clockNow());
   }
+  return Reply.m_body;
+}
+
+std::string Gateway::statusBody(bool Metrics, const HttpHead &Head,
+                                unsigned &Status) {
+  if (Metrics)
+    return operatorPage(Head, Status);
   if (Head.path() != m_core.m_dialect.readyPath()) {
     Status = 404;
     return "no such page\n";
--- /dev/null
+++ b/src/libgateway/suspectspage_test.cpp
@@ -0,0 +1,37 @@
+// Tests of the operator's page of crash suspects.
+#include "libgateway/suspectspage.h"
+
+#include <gtest/gtest.h>
+
+using namespace primroseworks;
+using namespace primroseworks::gateway;
+
+namespace {
+const TimePoint Start{Seconds(1000)};
+} // namespace
+
+TEST(SuspectsPage, ListsAndClears) {
+  CrashSuspects S = std::move(CrashSuspects::create({})).value();
+  S.strike(0xab, 9, Start);
+  for (std::uint64_t Crash : {1, 2, 3})
+    S.strike(0xcd, Crash, Start);
+  (void)S.take();
+  const TimePoint Now = Start + Seconds(10);
+  EXPECT_EQ(answerSuspects("GET", "/suspects", S, Now).m_body,
+            "fingerprint strikes suspicion refused expires_in_s\n"
+            "00000000000000cd 3 3 yes 590\n"
+            "00000000000000ab 1 1 no 590\n");
+  const SuspectsReply Cleared =
+      answerSuspects("POST", "/suspects/00000000000000cd", S, Now);
+  EXPECT_EQ(Cleared.m_cleared, 0xcdU);
+  EXPECT_FALSE(S.refused(0xcd, Now));
+  EXPECT_EQ(S.take().size(), 1U); // The peers hear of it.
+}
+
+TEST(SuspectsPage, RejectsOtherCalls) {
+  CrashSuspects S = std::move(CrashSuspects::create({})).value();
+  for (const char *Path : {"/suspects/", "/suspects/xyz", "/suspectsabc",
+                           "/suspects/1/2", "/suspects"})
+    EXPECT_EQ(answerSuspects("POST", Path, S, Start).m_status, 404U) << Path;
+  EXPECT_EQ(answerSuspects("DELETE", "/suspects/1", S, Start).m_status, 404U);
+}
