--- a/src/libgateway/callers.cpp
+++ b/src/libgateway/callers.cpp
@@ -235,6 +235,11 @@
     m_readTimer.expireNow();
 }
 
+void CallerConnection::endRequest() {
+  if (m_exchange)
+    m_exchange->onProcessEnding();
+}
+
 /// Waits until the caller has read the last response and closed its side.
 asio::awaitable<void> CallerConnection::linger() {
   std::error_code Ec;
@@ -341,6 +346,11 @@
     C->closeIfIdle();
 }
 
+void CallerListener::endRequests() {
+  for (CallerConnection *C : m_connections)
+    C->endRequest();
+}
+
 std::size_t CallerListener::busyConnections() const {
   std::size_t Count = 0;
   for (const CallerConnection *C : m_connections)
--- a/src/libgateway/callers.h
+++ b/src/libgateway/callers.h
@@ -41,6 +41,8 @@
   /// Closes the connection unless a request is being read or served or has
   /// already arrived.
   void closeIfIdle();
+  /// Ends the current request, see Exchange::onProcessEnding().
+  void endRequest();
   bool idle() const { return !m_exchange && !m_reader.started(); }
 
 private:
@@ -88,6 +90,8 @@
   /// Stops accepting connections.
   void stopAccepting();
   void closeIdleConnections();
+  /// Ends all requests, since this process is about to end.
+  void endRequests();
   /// Number of connections that read or serve a request.
   std::size_t busyConnections() const;
   std::size_t size() const { return m_connections.size(); }
--- a/src/libgateway/core.h
+++ b/src/libgateway/core.h
@@ -142,7 +142,9 @@
   /// Asks coordinators for endpoints; null if there are no other gateways.
   SchedulerClient *m_schedulerClient = nullptr;
   bool m_stopping = false; ///< Callers are directed to other VMs.
-  bool m_closing = false;  ///< Connections close after their current request.
+  /// While it stops: when requests that are still in progress are ended.
+  TimePoint m_requestsEndAt = TimePoint::max();
+  bool m_closing = false; ///< Connections close after their current request.
   bool m_rejectingWaiting = false; ///< New requests may not wait.
   /// Sends direct peers an immediate update after this VM's load at an endpoint
   /// changed.
--- a/src/libgateway/exchange.cpp
+++ b/src/libgateway/exchange.cpp
@@ -55,6 +55,13 @@
     m_silentAttempt->m_connection->close();
 }
 
+void Exchange::onProcessEnding() {
+  m_processEnding = true;
+  m_waitTimer.cancel();
+  if (m_attempt.m_connection)
+    m_attempt.m_connection->close();
+}
+
 void Exchange::onDispatched(const Choice &Placement, TimePoint) {
   m_ticket = 0;
   place(Placement, PlacedBy::Local);
@@ -171,8 +178,12 @@
   bool MaySend = true;
   for (;;) {
     const TimePoint Begin = clockNow();
+    if (m_processEnding)
+      co_return co_await fail("stopping");
     if (Begin >= m_deadline)
       co_return co_await fail("time_limit");
+    if (wouldBeCut())
+      co_return co_await rejectNotRun("stopping");
     // A retried request that crashed several endpoints has the same method,
     // target, model and body, and so the same fingerprint.
     const bool Refused = m_core.m_suspects.refused(m_fingerprint, Begin);
@@ -208,6 +219,13 @@
   }
 }
 
+/// Whether this process may end before the request, which may not be sent again
+/// if it is cut. Others are taken: most end in time.
+bool Exchange::wouldBeCut() const {
+  return m_core.m_stopping && !m_route->mayRunAgain() && m_sentAttempts == 0 &&
+         m_deadline > m_core.m_requestsEndAt;
+}
+
 /// Rejects a request that crashed too many endpoints.
 asio::awaitable<bool> Exchange::rejectSuspect(TimePoint Now) {
   const std::string Reason = "crashes_endpoints";
--- a/src/libgateway/exchange.h
+++ b/src/libgateway/exchange.h
@@ -28,6 +28,9 @@
   asio::awaitable<bool> run();
   /// Called when the caller has closed its connection.
   void onCallerGone();
+  /// Called when this process is about to end: the caller gets what can be said
+  /// of the request now, without a response of an endpoint.
+  void onProcessEnding();
   void onDispatched(const Choice &Placement, TimePoint Now) override;
   void onRejected() override { m_waitTimer.cancel(); }
   void onGranted(const Choice &Placement,
@@ -87,6 +90,7 @@
                                     std::size_t Length);
   bool takeRetry(TimePoint Now);
   bool mayTryAgain(AttemptOutcome Outcome, TimePoint Now);
+  bool wouldBeCut() const;
   bool canFailOver(TimePoint Now);
   Watchdog::Extension extendUnlessFailover();
   TimePoint attemptDeadline(TimePoint Now) const;
@@ -130,6 +134,7 @@
   /// Expected wait for an endpoint when the request was last rejected.
   Duration m_expectedWait{};
   bool m_callerGone = false;
+  bool m_processEnding = false;
   bool m_keepAlive = false; ///< The caller's connection can be reused.
 
   unsigned m_sentAttempts = 0; ///< Attempts that were sent to an endpoint.
--- a/src/libgateway/exchangeattempt.cpp
+++ b/src/libgateway/exchangeattempt.cpp
@@ -192,7 +192,8 @@
   }
   // The connection leads to an earlier incarnation if the address has changed.
   if (E->m_record.m_address != Address ||
-      !m_core.m_endpoints.maySend(m_attempt.m_choice.m_endpoint, Now)) {
+      !m_core.m_endpoints.maySend(m_attempt.m_choice.m_endpoint, Now) ||
+      wouldBeCut() || m_processEnding) {
     m_core.m_pool.releaseUnused(C, Now);
     co_return AttemptOutcome::NotSent;
   }
--- a/src/libgateway/gateway.cpp
+++ b/src/libgateway/gateway.cpp
@@ -337,6 +337,7 @@
 asio::awaitable<void> Gateway::drain() {
   const TimePoint Start = clockNow();
   const TimePoint End = Start + m_core.m_settings.m_stopLimit - ShutdownMargin;
+  m_core.m_requestsEndAt = End - RequestEndMargin;
   m_core.m_stopping = true;
   decisionlog::line(LogClass::Lifecycle, "stop")
       .number("busy",
@@ -357,6 +358,8 @@
   while (clockNow() < End) {
     if (!m_core.m_rejectingWaiting && clockNow() >= RejectAt)
       m_core.rejectWaiting();
+    if (clockNow() >= m_core.m_requestsEndAt)
+      m_callerListener.endRequests();
     m_callerListener.closeIdleConnections();
     if (m_callerListener.busyConnections() == 0)
       break;
--- a/src/libgateway/gateway.h
+++ b/src/libgateway/gateway.h
@@ -56,6 +56,8 @@
 inline constexpr double RejectWaitingShare = 0.6;
 /// The process exits this long before it would be killed.
 inline constexpr Milliseconds ShutdownMargin{500};
+/// Requests that are still in progress are ended this long before that.
+inline constexpr Milliseconds RequestEndMargin{200};
 
 class Gateway {
 public:
