--- a/src/libgateway/attempt.h
+++ b/src/libgateway/attempt.h
@@ -22,9 +22,10 @@
   Failure,      ///< A complete response that reports a failure.
   Broken,       ///< The response was truncated or invalid.
   Silent,       ///< No response, or no further event, before the timeout.
+  Superseded,   ///< Given up, since the silent endpoint before it went on.
   CallerGone    ///< The caller closed its connection.
 };
-inline constexpr NameTable<AttemptOutcome, 9> AttemptOutcomeNames = {
+inline constexpr NameTable<AttemptOutcome, 10> AttemptOutcomeNames = {
     {{AttemptOutcome::Delivered, "delivered"},
      {AttemptOutcome::NotConnected, "not_connected"},
      {AttemptOutcome::NotSent, "not_sent"},
@@ -33,6 +34,7 @@
      {AttemptOutcome::Failure, "failure"},
      {AttemptOutcome::Broken, "broken"},
      {AttemptOutcome::Silent, "silent"},
+     {AttemptOutcome::Superseded, "superseded"},
      {AttemptOutcome::CallerGone, "caller_gone"}}};
 
 /// Timeout for opening a connection to an endpoint.
@@ -64,7 +66,9 @@
 /// this time.
 inline constexpr Milliseconds SuspectCheckInterval{50};
 /// A silent attempt is kept for this long after the request was sent to another
-/// endpoint, which usually refuses sooner if it does not take it.
+/// endpoint, which usually refuses sooner if it does not take it. If its
+/// endpoint has gone on by then and the other one has not answered, the request
+/// goes on there.
 inline constexpr Milliseconds SilentAttemptLifetime{300};
 
 /// State of one attempt. It can be set aside and resumed while its connection
--- a/src/libgateway/connections.cpp
+++ b/src/libgateway/connections.cpp
@@ -133,6 +133,12 @@
   }
 }
 
+bool Connection::inputWaiting() {
+  char Byte = 0;
+  return m_open &&
+         recv(m_socket.native_handle(), &Byte, 1, MSG_PEEK | MSG_DONTWAIT) > 0;
+}
+
 void Connection::interrupt() {
   std::error_code Ignored;
   m_socket.cancel(Ignored);
--- a/src/libgateway/connections.h
+++ b/src/libgateway/connections.h
@@ -49,6 +49,8 @@
   void close();
   /// Whether any byte of the current response has arrived.
   bool responseStarted() const { return m_reader.started(); }
+  /// Whether bytes have arrived that were not read yet.
+  bool inputWaiting();
   /// Whether no received bytes follow the current response.
   bool inputDrained() const { return m_input.empty(); }
 
--- a/src/libgateway/exchange.cpp
+++ b/src/libgateway/exchange.cpp
@@ -267,6 +267,8 @@
     return true;
   if (Outcome == AttemptOutcome::HeldBack)
     return !m_silentAttempt; // It goes on there instead.
+  if (Outcome == AttemptOutcome::Superseded)
+    return false;
   return (Outcome == AttemptOutcome::NotRun || m_route->mayRunAgain()) &&
          takeRetry(Now);
 }
--- a/src/libgateway/exchange.h
+++ b/src/libgateway/exchange.h
@@ -66,6 +66,7 @@
   bool canResume(AttemptOutcome Outcome) const;
   void endAttempt(AttemptOutcome Outcome, TimePoint Now);
   void endSilentAttempt(TimePoint Now);
+  void onSilentAttemptTimeout(TimePoint Now);
   asio::awaitable<Result<void>> readMore(ConnectionPtr C);
   bool answersRequest(const ResponseMetadata &Metadata,
                       const Connection &C) const;
@@ -127,6 +128,8 @@
   std::optional<Attempt> m_silentAttempt;
   /// Armed while the endpoint tried next has the request.
   Watchdog m_silentAttemptTimer;
+  /// The current attempt is given up, because the silent endpoint went on.
+  bool m_superseded = false;
   std::unique_ptr<FailoverProbe> m_failover; ///< While the endpoint is silent.
   /// Endpoints at which this request may not run now, as a crash suspect. They
   /// are excluded until it waited for a while.
--- a/src/libgateway/exchangeattempt.cpp
+++ b/src/libgateway/exchangeattempt.cpp
@@ -8,6 +8,7 @@
 #include <asio/use_awaitable.hpp>
 #include <asio/write.hpp>
 #include <fmt/format.h>
+#include <utility>
 
 namespace primroseworks::gateway {
 
@@ -213,7 +214,7 @@
   limitAttempt(attemptDeadline(Now));
   if (m_silentAttempt)
     m_silentAttemptTimer.arm(Now + SilentAttemptLifetime,
-                             [this] { endSilentAttempt(clockNow()); });
+                             [this] { onSilentAttemptTimeout(clockNow()); });
   const Result<void> Sent = co_await C->send(serializeRequest(Now));
   m_attempt.m_sent = Sent.has_value();
   if (!Sent && m_callerGone)
@@ -250,6 +251,8 @@
   if (Outcome == AttemptOutcome::Broken || Outcome == AttemptOutcome::Silent ||
       Outcome == AttemptOutcome::Failure)
     m_mayHaveRun = true;
+  if (std::exchange(m_superseded, false) && Outcome == AttemptOutcome::Broken)
+    co_return AttemptOutcome::Superseded;
   co_return Outcome;
 }
 
@@ -301,6 +304,19 @@
   releaseEndpoint(m_attempt, Now);
 }
 
+/// Decides between the silent endpoint and the one that got the request next.
+void Exchange::onSilentAttemptTimeout(TimePoint Now) {
+  const ConnectionPtr Next = m_attempt.m_connection;
+  const bool WentOn =
+      m_silentAttempt && m_silentAttempt->m_connection->inputWaiting();
+  if (!WentOn || !Next || Next->responseStarted()) {
+    endSilentAttempt(Now);
+    return;
+  }
+  m_superseded = true;
+  Next->close();
+}
+
 /// Leaves the endpoint of the silent attempt for good.
 void Exchange::endSilentAttempt(TimePoint Now) {
   m_silentAttemptTimer.disarm();
@@ -556,6 +572,7 @@
     break;
   case AttemptOutcome::NotSent:
   case AttemptOutcome::HeldBack:
+  case AttemptOutcome::Superseded:
     Health = AttemptHealth::Refused;
     break;
   case AttemptOutcome::NotConnected:
