--- a/src/libgateway/core.cpp
+++ b/src/libgateway/core.cpp
@@ -4,8 +4,6 @@
 #include "libgateway/log.h"
 #include "libgateway/schedulerclient.h"
 
-#include <fmt/format.h>
-
 namespace primroseworks::gateway {
 
 Core::Core(asio::io_context &Io, Settings Options, const Dialect &Platform,
@@ -161,13 +159,14 @@
     const unsigned Strikes = m_suspects.strike(Fingerprint, Crash, Now);
     m_metrics->count("crash_strike");
     decisionlog::line(LogClass::Failure, "crash_strike")
-        .text("fingerprint", fmt::format("{:016x}", Fingerprint))
+        .hex("fingerprint", Fingerprint)
         .text("endpoint", Which.m_endpoint)
         .number("incarnation", static_cast<std::int64_t>(Which.m_incarnation))
         .text("evidence", nameOf(EndEvidenceNames, Evidence))
         .number("strikes", Strikes)
         .number("suspicion", m_suspects.suspicion(Fingerprint, Now))
         .number("refused", m_suspects.refused(Fingerprint, Now) ? 1 : 0);
+    endRefusedWaits(Fingerprint, Now);
   }
   if (m_onStrike)
     m_onStrike();
@@ -199,6 +198,14 @@
     strike(End, EndEvidence::Refused, clockNow());
 }
 
+void Core::endRefusedWaits(std::uint64_t Fingerprint, TimePoint Now) {
+  if (!m_suspects.refused(Fingerprint, Now))
+    return;
+  const auto [First, Last] = m_waits.equal_range(Fingerprint);
+  for (auto It = First; It != Last; ++It)
+    It->second->cancel();
+}
+
 void Core::dropRefutedStrikes(TimePoint Now) {
   if (m_suspects.size() == 0)
     return;
--- a/src/libgateway/core.h
+++ b/src/libgateway/core.h
@@ -107,6 +107,8 @@
   /// Drops strikes whose endpoint is still registered. To be called while the
   /// list of endpoints is current.
   void dropRefutedStrikes(TimePoint Now);
+  /// Ends the waits of requests with this fingerprint if it is refused now.
+  void endRefusedWaits(std::uint64_t Fingerprint, TimePoint Now);
   /// Takes an endpoint's record from the store.
   void onRecord(const EndpointRecord &Record, TimePoint Now);
   /// Rejects all waiting requests, and from then on those that would have to
@@ -129,6 +131,8 @@
   Chooser m_chooser;
   WaitQueue m_queue;
   std::map<TicketId, Waiter *> m_waiters; ///< Of the tickets in m_queue.
+  /// By fingerprint: the timers of requests that wait for an endpoint.
+  std::multimap<std::uint64_t, asio::steady_timer *> m_waits;
   ConnectionPool m_pool;
   CrashSuspects m_suspects;
   BrokenAttempts m_brokenAttempts;
--- a/src/libgateway/exchange.cpp
+++ b/src/libgateway/exchange.cpp
@@ -195,6 +195,10 @@
         releaseEndpoint(m_attempt, clockNow());
       co_return false;
     }
+    // Its last strike may have ended the wait.
+    if (!Acquired && !m_silentAttempt &&
+        m_core.m_suspects.refused(m_fingerprint, clockNow()))
+      continue;
     if (!Acquired && !m_silentAttempt && co_await waitHeldBack())
       continue;
     if (!Acquired && !m_silentAttempt)
@@ -226,40 +230,6 @@
          m_deadline > m_core.m_requestsEndAt;
 }
 
-/// Rejects a request that crashed too many endpoints.
-asio::awaitable<bool> Exchange::rejectSuspect(TimePoint Now) {
-  const std::string Reason = "crashes_endpoints";
-  m_core.m_suspects.onRefused(m_fingerprint);
-  if (m_mayHaveRun || m_committed)
-    co_return co_await fail(Reason);
-  co_return co_await sendLocalResponse(
-      503, Reason, m_core.m_suspects.remaining(m_fingerprint, Now));
-}
-
-/// Whether the endpoint that was chosen held the request back before, so that
-/// no other one is left.
-bool Exchange::heldBackTwice(AttemptOutcome Outcome) const {
-  return Outcome == AttemptOutcome::HeldBack &&
-         std::count(m_heldBackAt.begin(), m_heldBackAt.end(),
-                    m_attempt.m_choice.m_endpoint) > 1;
-}
-
-/// Waits until a crash suspect that was held back may be looked at again.
-/// Returns false if it was not held back or there is no time to wait.
-asio::awaitable<bool> Exchange::waitHeldBack() {
-  const TimePoint Now = clockNow();
-  if (m_heldBackAt.empty() || m_callerGone ||
-      maxEndpointWait(Now) < SuspectCheckInterval)
-    co_return false;
-  m_core.m_metrics->count("suspect_held_back");
-  co_await waitForEndpoint(Now + SuspectCheckInterval);
-  auto &Excluded = m_query.m_excluded;
-  for (const std::string &Id : std::exchange(m_heldBackAt, {}))
-    Excluded.erase(std::remove(Excluded.begin(), Excluded.end(), Id),
-                   Excluded.end());
-  co_return !m_callerGone;
-}
-
 /// Whether the request may be sent to another endpoint after this outcome.
 bool Exchange::mayTryAgain(AttemptOutcome Outcome, TimePoint Now) {
   if (Outcome == AttemptOutcome::NotConnected ||
@@ -324,8 +294,10 @@
   const TimePoint Start = clockNow();
   m_waitTimer.expires_at(Until);
   std::error_code Ignored;
+  const auto Wait = m_core.m_waits.emplace(m_fingerprint, &m_waitTimer);
   co_await m_waitTimer.async_wait(
       asio::redirect_error(asio::use_awaitable, Ignored));
+  m_core.m_waits.erase(Wait);
   m_waited += clockNow() - Start;
 }
 
--- a/src/libgateway/exchangeattempt.cpp
+++ b/src/libgateway/exchangeattempt.cpp
@@ -1,13 +1,9 @@
-// The attempts of a request at endpoints: sending it, reading the response,
-// relaying events, and leaving an endpoint that is silent.
+// The attempts of a request at endpoints: sending it, reading the response, and
+// leaving an endpoint that is silent.
 #include "libgateway/exchange.h"
 #include "libgateway/log.h"
 
 #include <algorithm>
-#include <asio/redirect_error.hpp>
-#include <asio/use_awaitable.hpp>
-#include <asio/write.hpp>
-#include <fmt/format.h>
 #include <utility>
 
 namespace primroseworks::gateway {
@@ -256,23 +252,6 @@
   co_return Outcome;
 }
 
-/// Whether this request may run at Endpoint, as far as crash suspects go.
-bool Exchange::mayRunAt(const std::string &Endpoint, TimePoint Now) {
-  return !m_core.m_suspects.refused(m_fingerprint, Now) &&
-         m_core.m_suspects.mayRun(m_fingerprint, Endpoint, Now);
-}
-
-/// Finds out whether an endpoint that broke off the attempt has ended.
-asio::awaitable<void> Exchange::examineBreak(AttemptOutcome Outcome) {
-  const bool NoAnswer =
-      Outcome == AttemptOutcome::Broken || Outcome == AttemptOutcome::Silent;
-  if (!NoAnswer || !m_attempt.m_closedByPeer)
-    co_return;
-  const EndpointIncarnation Which{m_attempt.m_choice.m_endpoint,
-                                  m_attempt.m_incarnation};
-  co_await m_core.onBroken(m_fingerprint, Which, m_attempt.m_address);
-}
-
 /// Whether the endpoint may still answer the attempt, since it was only left
 /// for another endpoint.
 bool Exchange::canResume(AttemptOutcome Outcome) const {
@@ -391,148 +370,6 @@
   co_return AttemptOutcome::Failure;
 }
 
-/// Records the first event of an attempt, which shows that the engine has
-/// finished the prefill of its prompt.
-void Exchange::recordFirstEvent() {
-  const TimePoint Now = clockNow();
-  m_attempt.m_prefillDone = true;
-  m_core.m_endpoints.onPrefillDone(m_attempt.m_choice.m_endpoint,
-                                   m_query.m_size, m_attempt.m_placedBy);
-  m_core.m_endpoints.onFirstEvent(m_query.m_service, Now - m_attempt.m_sentAt,
-                                  m_attempt.m_choice.m_pendingPrefillTokens +
-                                      m_query.m_size.m_promptTokens);
-  if (m_attempt.m_placedBy == PlacedBy::Coordinator) {
-    m_attempt.m_observation.m_firstEventMs = toMillis(Now - m_attempt.m_sentAt);
-    observeNotice(Now);
-    m_core.m_schedulerClient->onPrefillDone(m_attempt.m_coordinatorTicket,
-                                            m_attempt.m_observation);
-    m_attempt.m_observation = {};
-  } else {
-    m_core.notifyLoadChanged(m_attempt.m_choice.m_endpoint);
-  }
-  m_core.dispatchWaiting(Now);
-}
-
-/// Records the time since the previous events. A gap above the route's target
-/// makes the response late and shows that the engine is slow, however soon its
-/// first events come.
-void Exchange::recordEventGap(TimePoint Now) {
-  const Duration Gap = Now - m_lastEventsAt;
-  m_longestEventGap = std::max(m_longestEventGap, Gap);
-  m_core.m_endpoints.onInterval(m_attempt.m_choice.m_endpoint, Gap);
-  if (m_attempt.m_stalled || m_route->m_gapTarget == Milliseconds::zero() ||
-      Gap <= m_route->m_gapTarget)
-    return;
-  m_attempt.m_stalled = true;
-  m_attempt.m_observation.m_stalled = true;
-  m_core.m_endpoints.onStallSample(m_attempt.m_choice.m_endpoint, true);
-}
-
-/// Returns the complete events that the caller does not have yet. Invalid is
-/// set if one is missing before the rest, or if the rest is no event.
-std::string Exchange::takeEvents(bool &Invalid) {
-  std::string NewEvents;
-  while (std::optional<StreamEvent> Event = m_attempt.m_splitter.next()) {
-    // Once events have ids, one without an id is no event of this stream.
-    if (!Event->m_wellFormed ||
-        (Event->m_hasFields && !Event->m_id && m_lastEventId)) {
-      m_core.m_metrics->count("stream_event_refused");
-      Invalid = true;
-      break;
-    }
-    m_attempt.m_eventSeen = m_attempt.m_eventSeen || Event->m_hasFields;
-    if (Event->m_id) {
-      if (m_lastEventId && *Event->m_id <= *m_lastEventId)
-        continue; // Already sent to the caller.
-      if (m_lastEventId && *Event->m_id != *m_lastEventId + 1) {
-        m_core.m_metrics->count("stream_gap_refused");
-        Invalid = true;
-        break;
-      }
-      m_lastEventId = Event->m_id;
-    }
-    NewEvents += Event->m_bytes;
-  }
-  return NewEvents;
-}
-
-/// Records that new events arrived. The endpoint is not silent any more, and
-/// one that was left for it is not needed.
-void Exchange::recordEvents(TimePoint Now) {
-  m_failover.reset();
-  endSilentAttempt(Now);
-  if (!m_attempt.m_prefillDone)
-    recordFirstEvent();
-  else
-    recordEventGap(Now);
-  m_lastEventsAt = Now;
-  if (m_attempt.m_eventBatches++ == 0)
-    m_attempt.m_firstEventsAt = Now;
-}
-
-/// Forwards complete events to the caller as they arrive. The response head is
-/// sent with the first event, so that the request can fail over to another
-/// endpoint until then.
-asio::awaitable<AttemptOutcome> Exchange::relayEvents(ConnectionPtr C) {
-  const HttpHead Head = C->m_reader.head();
-  const ResponseMetadata Metadata = m_core.m_dialect.responseMetadata(Head);
-  if (!Metadata.m_signed || Metadata.m_encoded)
-    co_return AttemptOutcome::Broken;
-  EventSplitter &Splitter = m_attempt.m_splitter;
-  const bool MayFailOver =
-      m_route->m_resumable && attemptsThatMayHaveRun() < m_route->m_maxAttempts;
-  for (;;) {
-    Splitter.add(C->m_reader.takeBody());
-    bool Invalid = false;
-    const std::string NewEvents = takeEvents(Invalid);
-    if (!NewEvents.empty())
-      recordEvents(clockNow());
-    // Complete events are forwarded even if the stream is truncated after them:
-    // they count as sent, and another endpoint continues after the last one.
-    // A continuation without an event shows no end of the stream.
-    const bool Empty = m_committed && !m_attempt.m_eventSeen;
-    const bool Truncated =
-        Invalid || Splitter.pending() > MaxEventBytes ||
-        (C->m_reader.complete() && (Splitter.pending() > 0 || Empty));
-    const bool Complete = C->m_reader.complete() && !Truncated;
-    std::string Out;
-    if ((!NewEvents.empty() || Complete) && !m_committed) {
-      m_committed = true;
-      m_firstByteAt = clockNow();
-      m_status = Head.m_status;
-      Out = serializeResponseHead(Head, true, 0);
-    }
-    if (!NewEvents.empty())
-      Out += fmt::format("{:x}\r\n", NewEvents.size()) + NewEvents + "\r\n";
-    if (Complete) {
-      Out += "0\r\n\r\n";
-      releaseConnection(Metadata);
-    }
-    if (!Out.empty() && !co_await write(std::move(Out)))
-      co_return AttemptOutcome::CallerGone;
-    if (Complete) {
-      if (!m_attempt.m_stalled) {
-        m_attempt.m_observation.m_stalled = false;
-        m_core.m_endpoints.onStallSample(m_attempt.m_choice.m_endpoint, false);
-      }
-      m_outcome = "ran";
-      co_return AttemptOutcome::Delivered;
-    }
-    if (Truncated)
-      co_return AttemptOutcome::Broken;
-    if (!NewEvents.empty()) {
-      const TimePoint Latest = m_deadline + DeadlineGrace;
-      limitAttempt(MayFailOver ? std::min<TimePoint>(
-                                     Latest, clockNow() + StreamStallTimeout)
-                               : Latest);
-    }
-    const Result<void> Step = co_await readMore(C);
-    if (!Step)
-      co_return m_attemptTimer.fired() ? AttemptOutcome::Silent
-                                       : AttemptOutcome::Broken;
-  }
-}
-
 /// Adds what the endpoint has said of itself to what the attempt shows.
 void Exchange::observeNotice(TimePoint Now) {
   const Endpoint *E = m_core.m_endpoints.find(m_attempt.m_choice.m_endpoint);
@@ -599,7 +436,7 @@
       .number("incarnation", static_cast<std::int64_t>(m_attempt.m_incarnation))
       .text("end", nameOf(AttemptOutcomeNames, Outcome))
       .number("closed_by_peer", m_attempt.m_closedByPeer ? 1 : 0)
-      .text("fingerprint", fmt::format("{:016x}", m_fingerprint))
+      .hex("fingerprint", m_fingerprint)
       .number("strikes", m_core.m_suspects.strikes(m_fingerprint, Now))
       .number("status", m_attempt.m_status)
       .number("load", m_attempt.m_choice.m_load)
--- a/src/libgateway/gatewaystatus.cpp
+++ b/src/libgateway/gatewaystatus.cpp
@@ -8,7 +8,6 @@
 #include <asio/redirect_error.hpp>
 #include <asio/use_awaitable.hpp>
 #include <asio/write.hpp>
-#include <fmt/format.h>
 #include <sys/resource.h>
 
 namespace primroseworks::gateway {
@@ -65,7 +64,7 @@
   Status = Reply.m_status;
   if (Reply.m_cleared) {
     decisionlog::line(LogClass::Lifecycle, "suspect_cleared")
-        .text("fingerprint", fmt::format("{:016x}", *Reply.m_cleared));
+        .hex("fingerprint", *Reply.m_cleared);
     m_peers.sendStrikes(clockNow());
   }
   return Reply.m_body;
--- a/src/libgateway/log.cpp
+++ b/src/libgateway/log.cpp
@@ -158,6 +158,10 @@
   return *this;
 }
 
+LogLine &LogLine::hex(std::string_view Key, std::uint64_t Value) {
+  return text(Key, fmt::format("{:016x}", Value));
+}
+
 LogLine &LogLine::number(std::string_view Key, std::int64_t Value) {
   if (m_enabled) {
     m_line += ',';
--- a/src/libgateway/log.h
+++ b/src/libgateway/log.h
@@ -43,6 +43,8 @@
   LogLine &text(std::string_view Key, std::string_view Value);
   LogLine &number(std::string_view Key, std::int64_t Value);
   LogLine &real(std::string_view Key, double Value);
+  /// 16 hexadecimal digits.
+  LogLine &hex(std::string_view Key, std::uint64_t Value);
 
 private:
   LogClass m_class;
--- a/src/libgateway/peers.cpp
+++ b/src/libgateway/peers.cpp
@@ -345,8 +345,10 @@
         m_core.m_suspects.addFromPeer(S.m_fingerprint, S.m_crash, Now);
     if (After != Before)
       New.push_back(S);
-    if (After > Before)
+    if (After > Before) {
       dropClear(S.m_fingerprint);
+      m_core.endRefusedWaits(S.m_fingerprint, Now);
+    }
     if (m_audience.isCoordinator())
       addRecent(m_peerStrikes, S, Now);
   }
