--- a/testsuite/soak/callers.cpp
+++ b/testsuite/soak/callers.cpp
@@ -202,6 +202,8 @@
       m_check.violation(Id + " got a success that is not whole");
     co_return Verdict::Success;
   }
+  if (Body.find("crashes_endpoints") != std::string::npos)
+    m_check.violation(Id + " was refused as a crash suspect");
   if (Head.m_status == 429 || Head.m_status == 503 || Head.m_status == 408)
     co_return Verdict::NotRun;
   if (Head.m_status >= 300 && Head.m_status < 500)
@@ -209,9 +211,9 @@
   co_return Verdict::Failure;
 }
 
-asio::awaitable<unsigned> Callers::probe(std::string Address,
-                                         std::string Path) {
-  const std::string Id = "p" + std::to_string(++m_next);
+asio::awaitable<unsigned> Callers::probe(std::string Address, std::string Path,
+                                         char Prefix) {
+  const std::string Id = Prefix + std::to_string(++m_next);
   m_check.onSent(Id, Work::Read);
   gateway::ConnectionPool Pool(m_io);
   const std::string Request = soakRequest(Path, Id, "", DeadlineMs);
--- a/testsuite/soak/callers.h
+++ b/testsuite/soak/callers.h
@@ -41,8 +41,10 @@
   /// fault excuses it.
   bool m_calm = false;
 
-  /// Status of one request for Path at a gateway; 0 without an answer.
-  asio::awaitable<unsigned> probe(std::string Address, std::string Path);
+  /// Status of one request for Path at a gateway; 0 without an answer. Its id
+  /// begins with Prefix.
+  asio::awaitable<unsigned> probe(std::string Address, std::string Path,
+                                  char Prefix = 'p');
 
 private:
   using Socket = asio::ip::tcp::socket;
--- a/testsuite/soak/faults.cpp
+++ b/testsuite/soak/faults.cpp
@@ -94,6 +94,26 @@
   E.restart();
 }
 
+void Soak::endUnderRequest(const std::string &Endpoint) {
+  for (std::size_t I = 0; I < m_engines.size(); ++I) {
+    if (m_engines[I]->id() != Endpoint ||
+        !m_endedUnderRequest.insert(Endpoint).second)
+      continue;
+    EngineStandin *E = m_engines[I].get();
+    Proxy *Link = m_engineLinks[I].get();
+    start(applyFor(
+        [E, Link] {
+          Link->setState(LinkState::Refused);
+          E->crash();
+        },
+        [this, E, Link] {
+          restartEngine(*E);
+          Link->setState(LinkState::Up);
+        },
+        Milliseconds(300 + draw(1200))));
+  }
+}
+
 void Soak::drainEngine(EngineStandin &E, Milliseconds Time) {
   const bool SaysSoFirst = draw(2) == 0;
   note(E.id() +
--- a/testsuite/soak/proxy.cpp
+++ b/testsuite/soak/proxy.cpp
@@ -11,6 +11,7 @@
 #include <asio/use_awaitable.hpp>
 #include <asio/write.hpp>
 #include <chrono>
+#include <utility>
 
 #if defined(__GNUC__) && !defined(__clang__)
 // g++ 12 inlines one half of Asio's pair of allocation functions for coroutine
@@ -44,19 +45,34 @@
 
 Proxy::Proxy(asio::io_context &Io, const std::string &Ip, std::string Target)
     : m_io(Io), m_acceptor(Io, {asio::ip::make_address(Ip), 0}),
-      m_target(std::move(Target)) {
+      m_address(m_acceptor.local_endpoint()), m_target(std::move(Target)) {
   asio::co_spawn(
       m_io, [this] { return accept(); }, asio::detached);
 }
 
 std::string Proxy::address() const {
-  const auto At = m_acceptor.local_endpoint();
-  return At.address().to_string() + ':' + std::to_string(At.port());
+  return m_address.address().to_string() + ':' +
+         std::to_string(m_address.port());
+}
+
+/// Listens again after connections were refused.
+void Proxy::listen() {
+  m_acceptor = asio::ip::tcp::acceptor(m_io, m_address);
+  asio::co_spawn(
+      m_io, [this] { return accept(); }, asio::detached);
 }
 
 void Proxy::setState(LinkState State) {
-  m_state = State;
+  const LinkState Before = std::exchange(m_state, State);
   m_lastFault = std::chrono::steady_clock::now();
+  if (State == LinkState::Refused) {
+    std::error_code Ignored;
+    m_acceptor.close(Ignored);
+    reset();
+    return;
+  }
+  if (Before == LinkState::Refused)
+    listen();
   // The system drops packets that open a connection while its queue is full.
   std::error_code Ignored;
   m_acceptor.listen(State == LinkState::Unreachable ? 0 : Backlog, Ignored);
@@ -85,6 +101,7 @@
   case LinkState::Delayed:
   case LinkState::Lossy:
   case LinkState::Unreachable:
+  case LinkState::Refused:
     return false;
   case LinkState::OneWay:
     return Back;
--- a/testsuite/soak/proxy.h
+++ b/testsuite/soak/proxy.h
@@ -22,7 +22,8 @@
   /// Packets get lost: some bytes wait until they are sent again, and some
   /// connections open late.
   Lossy,
-  Unreachable ///< New connections are not accepted; connecting takes forever.
+  Unreachable, ///< New connections are not accepted; connecting takes forever.
+  Refused      ///< New connections are refused, as if the target had ended.
 };
 
 class Proxy {
@@ -48,6 +49,7 @@
   };
   using LinkPtr = std::shared_ptr<Link>;
 
+  void listen();
   asio::awaitable<void> accept();
   asio::awaitable<void> connect(LinkPtr L);
   asio::awaitable<void> pump(LinkPtr L, bool Back);
@@ -58,6 +60,7 @@
 
   asio::io_context &m_io;
   asio::ip::tcp::acceptor m_acceptor;
+  asio::ip::tcp::endpoint m_address;
   std::string m_target;
   LinkState m_state = LinkState::Up;
   std::chrono::steady_clock::time_point m_lastFault; ///< Its end.
--- a/testsuite/soak/soak.cpp
+++ b/testsuite/soak/soak.cpp
@@ -41,6 +41,14 @@
 constexpr double BaseSilences = 0.02;
 /// Part of the continuations that get an error while faults are drawn.
 constexpr double ContinuationErrors = 0.3;
+/// First letter of the ids of requests that end the endpoints which run them.
+constexpr char CrashingPrefix = 'g';
+/// Copies of such a request at once, and times that they are sent.
+constexpr unsigned CrashingCopies = 2;
+constexpr unsigned CrashingRounds = 12;
+constexpr milliseconds CrashingPause{300};
+/// Ends under one request, one after the other.
+constexpr unsigned MaxEnds = 3;
 
 } // namespace
 
@@ -61,6 +69,8 @@
     const auto OnRun = [this](const std::string &Id, const std::string &At,
                               bool Draining) {
       m_check.onRun(Id, At);
+      if (Id[0] == CrashingPrefix)
+        endUnderRequest(At);
       if (Draining && m_drainOver)
         m_check.violation(Id + " ran at " + At + ", which drains");
     };
@@ -195,6 +205,39 @@
   restartEngine(E);
 }
 
+asio::awaitable<void> Soak::sendCrashingRequest(std::string Address) {
+  (void)co_await m_callers->probe(Address, "/read/crash", CrashingPrefix);
+}
+
+/// A request that ends each endpoint which runs it is stopped by all gateways,
+/// and no other one is refused with it.
+asio::awaitable<void> Soak::checkCrashingRequest() {
+  const auto Gateway = [this](unsigned I) {
+    return m_gateways[I % m_gateways.size()]->callerAddress();
+  };
+  for (unsigned Round = 0; Round < CrashingRounds; ++Round) {
+    for (unsigned Copy = 0; Copy < CrashingCopies; ++Copy)
+      start(sendCrashingRequest(Gateway(Round + Copy)));
+    co_await pause(CrashingPause);
+  }
+  while (m_faultsInForce > 0)
+    co_await pause(Milliseconds(20));
+  note(fmt::format("{} endpoints ended under one request",
+                   m_endedUnderRequest.size()));
+  if (m_endedUnderRequest.size() > MaxEnds + CrashingCopies - 1)
+    m_check.violation(fmt::format("{} endpoints ended under one request",
+                                  m_endedUnderRequest.size()));
+  for (const auto &P : m_gateways) {
+    const std::string Address = P->callerAddress();
+    const unsigned Status =
+        co_await m_callers->probe(Address, "/read/crash", CrashingPrefix);
+    if (Status != 503)
+      m_check.violation(
+          fmt::format("{} answers {} to a request that ended endpoints",
+                      P->name(), Status));
+  }
+}
+
 /// Every gateway stops and starts again while callers go on.
 asio::awaitable<void> Soak::checkRollingStop() {
   for (const auto &P : m_gateways) {
@@ -218,6 +261,8 @@
   co_await injectFaults();
   note("all faults are over");
   co_await checkRecovery();
+  co_await checkCrashingRequest();
+  co_await checkRecovery();
   m_callers->m_calm = true;
   co_await checkConfiguration();
   co_await checkDrain();
--- a/testsuite/soak/soak.h
+++ b/testsuite/soak/soak.h
@@ -15,6 +15,7 @@
 #include <functional>
 #include <memory>
 #include <random>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -53,6 +54,8 @@
   asio::awaitable<void> checkConfiguration();
   asio::awaitable<void> checkDrain();
   asio::awaitable<void> checkRollingStop();
+  asio::awaitable<void> checkCrashingRequest();
+  asio::awaitable<void> sendCrashingRequest(std::string Address);
   asio::awaitable<void> pause(Milliseconds Time);
 
   Clock::time_point lastLinkFault(const std::string &Endpoint) const;
@@ -62,6 +65,7 @@
   void drawEngineFault(EngineStandin &E, Milliseconds Time);
   void drawOddEntry(Milliseconds Time);
   void restartEngine(EngineStandin &E);
+  void endUnderRequest(const std::string &Endpoint);
   void drainEngine(EngineStandin &E, Milliseconds Time);
   void setEngineFaults(EngineStandin &E,
                        const platform::testing::EngineFaults &F,
@@ -92,6 +96,8 @@
   unsigned m_extraRoutes = 0;
   Milliseconds m_idleTimeout{4000}; ///< Of the newest configuration.
   unsigned m_oddEntries = 0;
+  /// Ids of the endpoints that ended under the request which ends them.
+  std::set<std::string> m_endedUnderRequest;
   /// Of endpoints without a drawn fault.
   platform::testing::EngineFaults m_baseFaults;
   int m_faultsInForce = 0;
