--- a/src/libgateway/core.cpp
+++ b/src/libgateway/core.cpp
@@ -185,7 +185,9 @@
     co_return;
   }
   if (E->m_record.m_incarnation > Which.m_incarnation) {
-    onRecord(E->m_record, clockNow());
+    for (const FoundEnd &End :
+         m_brokenAttempts.onRecord(E->m_record, clockNow()))
+      strike(End, EndEvidence::Replaced, clockNow());
     co_return;
   }
   const std::string Key = Which.m_endpoint + '@' + Address;
--- a/src/libgateway/exchange.cpp
+++ b/src/libgateway/exchange.cpp
@@ -226,7 +226,7 @@
 /// Whether this process may end before the request, which may not be sent again
 /// if it is cut. Others are taken: most end in time.
 bool Exchange::wouldBeCut() const {
-  return m_core.m_stopping && !m_route->mayRunAgain() && m_sentAttempts == 0 &&
+  return m_core.m_stopping && !m_route->mayRunAgain() && !m_mayHaveRun &&
          m_deadline > m_core.m_requestsEndAt;
 }
 
--- a/src/libgateway/peers.cpp
+++ b/src/libgateway/peers.cpp
@@ -148,23 +148,39 @@
       dropClear(Fingerprint);
     addRecent(m_strikes, {Fingerprint, Crash}, Now);
   }
-  if (Now - m_suspectsRepeatedAt < SuspectRepeatInterval)
-    return;
-  m_suspectsRepeatedAt = Now;
-  for (const auto &[Fingerprint, Crash] : m_core.m_suspects.repeats(Now))
-    addRecent(m_strikes, {Fingerprint, Crash}, Now);
 }
 
-void Peers::sendStrikes(TimePoint Now) {
-  collectStrikes(Now);
+PeerReport Peers::strikeReport(std::vector<PeerStrike> Strikes) {
   PeerReport Report = emptyReport(0);
   Report.m_partial = true;
+  Report.m_strikes = std::move(Strikes);
+  return Report;
+}
+
+void Peers::sendStrikes(TimePoint Now) {
+  collectStrikes(Now);
+  std::vector<PeerStrike> Strikes;
   for (const RecentStrike &S : m_strikes)
-    Report.m_strikes.push_back(S.m_strike);
+    Strikes.push_back(S.m_strike);
+  const PeerReport Report = strikeReport(std::move(Strikes));
   sendTo(Report, m_audience.receivers(m_leader, true));
   sendTo(Report, m_audience.dependents());
 }
 
+/// Tells the strikes of suspects that compete or are refused once more.
+void Peers::repeatSuspects(TimePoint Now) {
+  if (Now - m_suspectsRepeatedAt < SuspectRepeatInterval)
+    return;
+  m_suspectsRepeatedAt = Now;
+  std::vector<PeerStrike> Strikes;
+  for (const auto &[Fingerprint, Crash] : m_core.m_suspects.repeats(Now))
+    if (Strikes.size() < RecentStrikesMax)
+      Strikes.push_back({Fingerprint, Crash});
+  if (!Strikes.empty())
+    sendTo(strikeReport(std::move(Strikes)),
+           m_audience.receivers(m_leader, true));
+}
+
 PeerReport Peers::localReport(std::uint64_t LeaderToken, TimePoint Now) {
   PeerReport R = emptyReport(LeaderToken);
   R.m_loads = ownLoads();
@@ -231,6 +247,7 @@
       !Report.m_loads.empty() || m_sentLoads || !Report.m_strikes.empty();
   m_sentLoads = !Report.m_loads.empty();
   sendTo(Report, m_audience.receivers(m_leader, ForAll));
+  repeatSuspects(Now);
 }
 
 void Peers::sendFleetLoads(TimePoint Now) {
@@ -354,10 +371,7 @@
   }
   if (New.empty() || !m_audience.isCoordinator())
     return;
-  PeerReport Relayed = emptyReport(0);
-  Relayed.m_partial = true;
-  Relayed.m_strikes = std::move(New);
-  sendTo(Relayed, m_audience.dependents());
+  sendTo(strikeReport(std::move(New)), m_audience.dependents());
 }
 
 void Peers::apply(const PeerReport &Report, TimePoint Now) {
--- a/src/libgateway/peers.h
+++ b/src/libgateway/peers.h
@@ -98,6 +98,8 @@
   PeerReport emptyReport(std::uint64_t LeaderToken);
   PeerHolding holding(const Endpoint &E) const;
   void collectStrikes(TimePoint Now);
+  void repeatSuspects(TimePoint Now);
+  PeerReport strikeReport(std::vector<PeerStrike> Strikes);
   void applyStrikes(const PeerReport &Report, TimePoint Now);
   std::vector<PeerEndpointLoad> ownLoads() const;
   void sendBytes(const std::string &Bytes, const Member &To);
