--- a/src/libgateway/httpmessage.cpp
+++ b/src/libgateway/httpmessage.cpp
@@ -84,6 +84,7 @@
   m_head = HttpHead();
   m_body.clear();
   m_headBytes = 0;
+  m_tooManyHeaders = false;
   m_inValue = false;
   m_headComplete = false;
   m_complete = false;
@@ -94,8 +95,13 @@
   if (R->m_headComplete)
     return 0; // Trailers are ignored.
   std::vector<HttpHeader> &Headers = R->m_head.m_headers;
-  if (Headers.empty() || R->m_inValue)
+  if (Headers.empty() || R->m_inValue) {
+    if (Headers.size() == MaxHeaders) {
+      R->m_tooManyHeaders = true;
+      return -1;
+    }
     Headers.emplace_back();
+  }
   R->m_inValue = false;
   Headers.back().m_name.append(At, Size);
   return 0;
@@ -193,6 +199,10 @@
                                             std::to_string(m_maxHeadBytes) +
                                             " bytes; send a shorter head");
   }
+  if (m_tooManyHeaders)
+    return makeError(ErrorKind::Full, "the message has more than " +
+                                          std::to_string(MaxHeaders) +
+                                          " headers; send fewer");
   if (Error != HPE_OK || m_parser.upgrade)
     return makeError(
         ErrorKind::Protocol,
@@ -211,6 +221,12 @@
   return m_complete;
 }
 
+std::size_t HttpReader::memoryBytes() const {
+  // Names are kept twice, as received and in lower case.
+  return 2 * m_headBytes + m_head.m_headers.capacity() * sizeof(HttpHeader) +
+         m_body.capacity();
+}
+
 std::string HttpReader::takeBody() {
   std::string Out;
   Out.swap(m_body);
--- a/src/libgateway/httpmessage.h
+++ b/src/libgateway/httpmessage.h
@@ -43,6 +43,10 @@
 
 enum class HttpRole { Request, Response };
 
+/// Most headers of a message. Each costs far more memory than the few bytes
+/// that it may have.
+inline constexpr std::size_t MaxHeaders = 1000;
+
 /// Reads consecutive messages from a byte stream.
 class HttpReader {
 public:
@@ -54,7 +58,7 @@
   /// Consumes the bytes that belong to the current message and returns their
   /// number. Stops at the end of the head and at the end of the message. Fails
   /// with Protocol for bytes that are not an HTTP message, with Full for a head
-  /// over the limit.
+  /// over the limit or with more than MaxHeaders.
   Result<std::size_t> read(std::string_view Bytes);
   /// To be called at the end of the connection. Returns whether that completes
   /// the message.
@@ -68,8 +72,12 @@
   /// Returns the body bytes read so far and removes them from the reader.
   std::string takeBody();
   std::size_t bodySize() const { return m_body.size(); }
+  /// Memory of the head and of the body bytes that were not taken.
+  std::size_t memoryBytes() const;
   /// Prepares for the next message of the connection.
   void reset();
+  /// Limits the heads of messages from now on.
+  void setMaxHeadBytes(std::size_t Bytes) { m_maxHeadBytes = Bytes; }
 
 private:
   static int onField(http_parser *P, const char *At, std::size_t Size);
@@ -86,7 +94,8 @@
   HttpHead m_head;
   std::string m_body;
   std::size_t m_headBytes = 0; ///< Bytes read of the current head.
-  bool m_inValue = false;      ///< The last header fragment was a value.
+  bool m_tooManyHeaders = false;
+  bool m_inValue = false; ///< The last header fragment was a value.
   bool m_headComplete = false;
   bool m_complete = false;
 };
--- a/src/libgateway/httpmessage_test.cpp
+++ b/src/libgateway/httpmessage_test.cpp
@@ -118,3 +118,18 @@
   for (const HttpHeader &H : Head.m_headers)
     EXPECT_EQ(Head.isHopByHop(H), H.m_lowerName != "x-other") << H.m_name;
 }
+
+// Guards against heads whose many short headers take a hundred times the memory
+// of their bytes.
+TEST(HttpReader, HeadersAreLimitedInNumber) {
+  for (const std::size_t Count : {MaxHeaders, MaxHeaders + 1}) {
+    HttpReader Reader(HttpRole::Response, 1'000'000);
+    std::string Head = "HTTP/1.1 200 OK\r\n";
+    for (std::size_t I = 0; I < Count; ++I)
+      Head += "A:\r\n";
+    const Result<std::string> Rest = feed(Reader, Head + "\r\n", 1000);
+    ASSERT_EQ(Rest.has_value(), Count <= MaxHeaders);
+    EXPECT_TRUE(Rest || Rest.error().m_kind == ErrorKind::Full);
+    EXPECT_LT(Reader.memoryBytes(), 500'000U);
+  }
+}
