--- a/src/libgateway/events.cpp
+++ b/src/libgateway/events.cpp
@@ -1,5 +1,6 @@
 // Finds the boundaries and ids of server-sent events.
 #include "libgateway/events.h"
+#include "libgateway/memorybudget.h"
 
 #include <algorithm>
 #include <cctype>
@@ -9,23 +10,6 @@
 
 namespace {
 
-/// Size of the event at the start of Bytes, including the empty line at its
-/// end; 0 if the event is incomplete.
-std::size_t eventSize(std::string_view Bytes) {
-  std::size_t LineStart = 0;
-  for (;;) {
-    const std::size_t End = Bytes.find('\n', LineStart);
-    if (End == std::string_view::npos)
-      return 0;
-    std::string_view Line = Bytes.substr(LineStart, End - LineStart);
-    if (!Line.empty() && Line.back() == '\r')
-      Line.remove_suffix(1);
-    if (Line.empty())
-      return End + 1;
-    LineStart = End + 1;
-  }
-}
-
 /// Calls Visit with each line of the event, without its line end.
 template <class Visitor>
 void visitLines(std::string_view Event, Visitor Visit) {
@@ -65,8 +49,32 @@
 
 } // namespace
 
+void EventSplitter::clear() {
+  freeText(m_pending);
+  m_lineStart = 0;
+  m_searched = 0;
+}
+
+/// Size of the first event, including the empty line at its end; 0 if the event
+/// is incomplete. Bytes that were searched before are not searched again.
+std::size_t EventSplitter::findEventEnd() {
+  for (;;) {
+    const std::size_t End = m_pending.find('\n', m_searched);
+    if (End == std::string::npos) {
+      m_searched = m_pending.size();
+      return 0;
+    }
+    const std::string_view Line(m_pending.data() + m_lineStart,
+                                End - m_lineStart);
+    m_lineStart = End + 1;
+    m_searched = End + 1;
+    if (Line.empty() || Line == "\r")
+      return End + 1;
+  }
+}
+
 std::optional<StreamEvent> EventSplitter::next() {
-  const std::size_t Size = eventSize(m_pending);
+  const std::size_t Size = findEventEnd();
   if (Size == 0)
     return std::nullopt;
   StreamEvent Event;
@@ -81,6 +89,8 @@
       Event.m_id = eventId(Line);
   });
   m_pending.erase(0, Size);
+  m_lineStart = 0;
+  m_searched = 0;
   return Event;
 }
 
--- a/src/libgateway/events.h
+++ b/src/libgateway/events.h
@@ -26,10 +26,15 @@
   std::optional<StreamEvent> next();
   /// Number of buffered bytes of an incomplete event.
   std::size_t pending() const { return m_pending.size(); }
-  void clear() { m_pending.clear(); }
+  std::size_t memoryBytes() const { return m_pending.capacity(); }
+  void clear();
 
 private:
+  std::size_t findEventEnd();
+
   std::string m_pending;
+  std::size_t m_lineStart = 0; ///< Of the first line that is not complete.
+  std::size_t m_searched = 0;  ///< No line of m_pending ends in between.
 };
 
 } // namespace primroseworks::gateway
--- a/src/libgateway/events_test.cpp
+++ b/src/libgateway/events_test.cpp
@@ -49,3 +49,24 @@
   EXPECT_FALSE(Splitter.next()->m_id);
   EXPECT_FALSE(Splitter.next()->m_id);
 }
+
+// An event may arrive in parts of any size.
+TEST(EventSplitter, PartsOfEverySizeGiveTheSameEvents) {
+  const std::string Text = "id: 1\r\ndata: a\r\n\r\n: comment\n\nid: 2\ndata: "
+                           "b\ndata: c\n\n\nid: 3\ndata: d";
+  for (std::size_t Size = 1; Size <= Text.size(); ++Size) {
+    EventSplitter Splitter;
+    std::string Events;
+    std::size_t Count = 0;
+    for (std::size_t At = 0; At < Text.size(); At += Size) {
+      Splitter.add(Text.substr(At, Size));
+      while (const std::optional<StreamEvent> Event = Splitter.next()) {
+        Events += Event->m_bytes;
+        ++Count;
+      }
+    }
+    EXPECT_EQ(Count, 4U) << Size;
+    EXPECT_EQ(Events.size() + Splitter.pending(), Text.size()) << Size;
+    EXPECT_EQ(Events, Text.substr(0, Events.size())) << Size;
+  }
+}
