--- a/src/libgateway/attempt.h
+++ b/src/libgateway/attempt.h
@@ -21,11 +21,13 @@
   NotRun,       ///< The endpoint stated that it did not run the request.
   Failure,      ///< A complete response that reports a failure.
   Broken,       ///< The response was truncated or invalid.
+  Overrun,      ///< More bytes than a response or an event may have.
+  MemoryShort,  ///< Cut, since this process holds too much.
   Silent,       ///< No response, or no further event, before the timeout.
   Superseded,   ///< Given up, since the silent endpoint before it went on.
   CallerGone    ///< The caller closed its connection.
 };
-inline constexpr NameTable<AttemptOutcome, 10> AttemptOutcomeNames = {
+inline constexpr NameTable<AttemptOutcome, 12> AttemptOutcomeNames = {
     {{AttemptOutcome::Delivered, "delivered"},
      {AttemptOutcome::NotConnected, "not_connected"},
      {AttemptOutcome::NotSent, "not_sent"},
@@ -33,6 +35,8 @@
      {AttemptOutcome::NotRun, "not_run"},
      {AttemptOutcome::Failure, "failure"},
      {AttemptOutcome::Broken, "broken"},
+     {AttemptOutcome::Overrun, "overrun"},
+     {AttemptOutcome::MemoryShort, "memory_short"},
      {AttemptOutcome::Silent, "silent"},
      {AttemptOutcome::Superseded, "superseded"},
      {AttemptOutcome::CallerGone, "caller_gone"}}};
@@ -83,7 +87,8 @@
   TimePoint m_sentAt{};
   /// The request was sent completely, so the attempt can be resumed.
   bool m_sent = false;
-  std::string m_body; ///< Of a response that is not a stream.
+  MemoryClaimPtr m_memory; ///< For what follows, and for the connection.
+  std::string m_body;      ///< Of a response that is not a stream.
   /// Size of m_body when another endpoint was last considered.
   std::size_t m_checkedBodyBytes = 0;
   EventSplitter m_splitter;    ///< Of a response that is a stream.
--- a/src/libgateway/connections.cpp
+++ b/src/libgateway/connections.cpp
@@ -2,6 +2,7 @@
 #include "libgateway/connections.h"
 
 #include <algorithm>
+#include <array>
 #include <asio/redirect_error.hpp>
 #include <asio/use_awaitable.hpp>
 #include <asio/write.hpp>
@@ -84,10 +85,15 @@
             static_cast<unsigned>(SilenceTimeout.count()));
 }
 
-asio::awaitable<Result<void>> Connection::send(std::string Bytes) {
+asio::awaitable<Result<void>> Connection::send(std::string Head,
+                                               std::string_view Body) {
   std::error_code Ec;
   m_sent = true;
-  co_await asio::async_write(m_socket, asio::buffer(Bytes),
+  // A named variable, because g++ 12 destroys an aggregate that is created
+  // within a co_await expression twice.
+  const std::array<asio::const_buffer, 2> Parts = {asio::buffer(Head),
+                                                   asio::buffer(Body)};
+  co_await asio::async_write(m_socket, Parts,
                              asio::redirect_error(asio::use_awaitable, Ec));
   if (Ec)
     co_return makeError(ErrorKind::Closed,
@@ -344,16 +350,24 @@
 
 asio::awaitable<Result<HttpClientResponse>>
 callHttp(asio::io_context &Io, ConnectionPool &Pool, std::string Key,
-         std::string Address, std::string Request, CallTimeouts Timeouts,
+         std::string Address, std::string Request, CallLimits Limits,
          ConnectionReuse Reuse) {
   const TimePoint Begin = std::chrono::steady_clock::now();
-  const Milliseconds Silence = Timeouts.m_silence;
+  const Milliseconds Silence = Limits.m_silence;
   Result<ConnectionPtr> Opened =
       co_await Pool.acquire(Key, Address, Silence, Silence);
   if (!Opened)
     co_return Opened.error();
   ConnectionPtr C = Opened.value();
-  const TimePoint End = Begin + Timeouts.m_total;
+  const TimePoint End = Begin + Limits.m_total;
+  MemoryClaimPtr Memory;
+  if (Pool.memory()) {
+    Memory = Pool.memory()->claim(MemoryKind::Call, Address);
+    Memory->setRevocation([C] {
+      C->close();
+      (void)C->m_reader.takeBody();
+    });
+  }
   TimePoint SilentSince = Begin;
   Watchdog Guard(Io);
   Guard.arm(C, std::min(End, Begin + Silence),
@@ -361,19 +375,23 @@
               return std::min(End, SilentSince + Silence);
             });
   Result<void> Step = co_await C->send(std::move(Request));
-  while (Step && !C->m_reader.complete() &&
-         C->m_reader.bodySize() <= MaxResponseBodyBytes) {
+  bool Fits = true;
+  while (Step && Fits && !C->m_reader.complete()) {
     Step = co_await C->readSome();
     SilentSince = std::chrono::steady_clock::now();
+    Fits = C->m_reader.bodySize() <= Limits.m_bodyBytes &&
+           C->m_reader.head().m_length.value_or(0) <= Limits.m_bodyBytes &&
+           (!Memory || Memory->resize(C->memoryBytes()));
   }
   Guard.disarm();
-  if (!Step || !C->m_reader.complete()) {
+  if (!Step || !Fits) {
     C->close();
-    if (Step && !Guard.fired())
-      co_return makeError(ErrorKind::Protocol,
+    if (!Fits)
+      co_return makeError(ErrorKind::Full,
                           "the response from " + Address + " exceeds " +
-                              std::to_string(MaxResponseBodyBytes) +
-                              " bytes; check what listens at this address");
+                              std::to_string(Limits.m_bodyBytes) +
+                              " bytes, or memory is short; check what listens "
+                              "at this address");
     co_return makeError(
         ErrorKind::Timeout,
         "no complete response from " + Address + ": " +
--- a/src/libgateway/connections.h
+++ b/src/libgateway/connections.h
@@ -4,6 +4,7 @@
 #define PRIMROSEWORKS_LIBGATEWAY_CONNECTIONS_H
 
 #include "libgateway/httpmessage.h"
+#include "libgateway/memorybudget.h"
 #include "primroseworks/error.h"
 #include "primroseworks/time.h"
 
@@ -21,7 +22,7 @@
 namespace primroseworks::gateway {
 
 /// Largest body that is read into memory: of a response that is not a stream,
-/// of a call to the store or to an engine's control interface.
+/// or of a list of the store.
 inline constexpr std::size_t MaxResponseBodyBytes = 8'388'608;
 
 /// Parses "IP:PORT"; fails with InvalidArgument.
@@ -37,12 +38,13 @@
       : m_socket(Io), m_key(std::move(Key)),
         m_reader(HttpRole::Response, MaxResponseHeadBytes) {}
 
-  /// Sends Bytes; fails with Closed.
-  asio::awaitable<Result<void>> send(std::string Bytes);
+  /// Sends Head and then Body, which must exist until then; fails with Closed.
+  asio::awaitable<Result<void>> send(std::string Head,
+                                     std::string_view Body = {});
   /// Reads until the response head is complete, the response is complete or a
   /// part of the body has arrived. Fails with Closed if the response is
-  /// truncated, with Protocol if the bytes are not a valid response, with
-  /// Timeout if it was interrupted.
+  /// truncated, with Protocol if the bytes are not a valid response, with Full
+  /// if its head is too large, with Timeout if it was interrupted.
   asio::awaitable<Result<void>> readSome();
   /// Ends the wait of readSome(), which may be called again.
   void interrupt();
@@ -51,6 +53,10 @@
   bool responseStarted() const { return m_reader.started(); }
   /// Whether bytes have arrived that were not read yet.
   bool inputWaiting();
+  /// Memory of the bytes that were received and not taken.
+  std::size_t memoryBytes() const {
+    return m_input.capacity() + m_reader.memoryBytes();
+  }
   /// Whether no received bytes follow the current response.
   bool inputDrained() const { return m_input.empty(); }
 
@@ -90,6 +96,10 @@
 class ConnectionPool {
 public:
   explicit ConnectionPool(asio::io_context &Io) : m_io(Io) {}
+  /// Counts the responses of calls against Budget from now on, which must
+  /// exist as long as the pool.
+  void limitMemory(MemoryBudget &Budget) { m_memory = &Budget; }
+  MemoryBudget *memory() const { return m_memory; }
   /// Returns an idle connection of Key, or a new one to Address. Fails with
   /// Unavailable if none is open within Timeout.
   asio::awaitable<Result<ConnectionPtr>> acquire(std::string Key,
@@ -122,6 +132,7 @@
   ConnectionPtr acquireIdle(const std::string &Key);
 
   asio::io_context &m_io;
+  MemoryBudget *m_memory = nullptr; ///< Null: unlimited.
   std::map<std::string, std::vector<ConnectionPtr>> m_idle;
   std::uint64_t m_opened = 0;
 };
@@ -132,15 +143,18 @@
   std::string m_body;
 };
 
-/// Time limits of a call.
-struct CallTimeouts {
-  /// Both limits are Total.
-  CallTimeouts(Milliseconds Total) : m_silence(Total), m_total(Total) {}
-  CallTimeouts(Milliseconds Silence, Milliseconds Total)
-      : m_silence(Silence), m_total(Total) {}
-
-  Milliseconds m_silence; ///< Until the next part of the response arrives.
-  Milliseconds m_total;   ///< Until the response is complete.
+/// Limits of a call.
+struct CallLimits {
+  /// Both time limits are Total.
+  CallLimits(Milliseconds Total, std::size_t BodyBytes = MaxResponseBodyBytes)
+      : CallLimits(Total, Total, BodyBytes) {}
+  CallLimits(Milliseconds Silence, Milliseconds Total,
+             std::size_t BodyBytes = MaxResponseBodyBytes)
+      : m_silence(Silence), m_total(Total), m_bodyBytes(BodyBytes) {}
+
+  Milliseconds m_silence;  ///< Until the next part of the response arrives.
+  Milliseconds m_total;    ///< Until the response is complete.
+  std::size_t m_bodyBytes; ///< Largest body of the response.
 };
 
 /// After which responses of a call its connection is used again.
@@ -152,10 +166,11 @@
 };
 
 /// Sends one request and reads the complete response. Fails with Unavailable
-/// (not sent) or Timeout (sent, but no complete response arrived in time).
+/// (not sent), Timeout (sent, but no complete response arrived in time) or Full
+/// (the response exceeds its limit or the memory of this process).
 asio::awaitable<Result<HttpClientResponse>>
 callHttp(asio::io_context &Io, ConnectionPool &Pool, std::string Key,
-         std::string Address, std::string Request, CallTimeouts Timeouts,
+         std::string Address, std::string Request, CallLimits Limits,
          ConnectionReuse Reuse = ConnectionReuse::Always);
 
 /// Limits the time of a task's wait on a socket. After disarm() or a later
--- a/src/libgateway/core.cpp
+++ b/src/libgateway/core.cpp
@@ -6,13 +6,40 @@
 
 namespace primroseworks::gateway {
 
+namespace {
+
+std::size_t budgetBytes(const Settings &Options) {
+  const std::size_t Process = processMemoryLimit(Options.m_memoryBytes);
+  return static_cast<std::size_t>(static_cast<double>(Process) *
+                                  BudgetShareOfMemory);
+}
+
+} // namespace
+
 Core::Core(asio::io_context &Io, Settings Options, const Dialect &Platform,
            CrashSuspects Suspects)
     : m_io(Io), m_settings(std::move(Options)), m_dialect(Platform),
       m_metrics(Metrics::create()),
-      m_chooser(m_settings.m_failureDomain, m_settings.m_regions), m_pool(Io),
+      m_chooser(m_settings.m_failureDomain, m_settings.m_regions),
+      m_memory(budgetBytes(m_settings)), m_pool(Io),
       m_suspects(std::move(Suspects)), m_endpointProbe(Io, m_pool),
-      m_random(std::random_device{}()) {}
+      m_random(std::random_device{}()) {
+  m_pool.limitMemory(m_memory);
+  m_memory.setOnCut([this](const MemoryCut &Cut) { onMemoryCut(Cut); });
+}
+
+/// Tells that a request or a response was cut, so that this process does not
+/// exceed its memory.
+void Core::onMemoryCut(const MemoryCut &Cut) {
+  const std::string Kind(nameOf(MemoryKindNames, Cut.m_kind));
+  m_metrics->count("memory_cut_" + Kind);
+  decisionlog::line(LogClass::Failure, "memory_cut")
+      .text("kind", Kind)
+      .text("peer", Cut.m_peer)
+      .number("bytes", static_cast<std::int64_t>(Cut.m_bytes))
+      .number("held", static_cast<std::int64_t>(m_memory.held()))
+      .number("limit", static_cast<std::int64_t>(m_memory.limit()));
+}
 
 Choice Core::choose(const ChoiceQuery &Query, TimePoint Now) const {
   if (!m_configuration)
--- a/src/libgateway/core.h
+++ b/src/libgateway/core.h
@@ -131,6 +131,7 @@
   Chooser m_chooser;
   WaitQueue m_queue;
   std::map<TicketId, Waiter *> m_waiters; ///< Of the tickets in m_queue.
+  MemoryBudget m_memory;
   /// By fingerprint: the timers of requests that wait for an endpoint.
   std::multimap<std::uint64_t, asio::steady_timer *> m_waits;
   ConnectionPool m_pool;
@@ -160,6 +161,7 @@
 
 private:
   void strike(const FoundEnd &End, EndEvidence Evidence, TimePoint Now);
+  void onMemoryCut(const MemoryCut &Cut);
 
   std::map<std::string, RetryWindow> m_retries; ///< By service.
 };
--- a/src/libgateway/endpoints.cpp
+++ b/src/libgateway/endpoints.cpp
@@ -266,7 +266,8 @@
       FailureWeight * ((Failed ? 1.0 : 0.0) - E->m_failureShare);
   E->m_consecutiveSilent =
       Health == AttemptHealth::Silent ? E->m_consecutiveSilent + 1 : 0;
-  if (E->m_consecutiveSilent >= 2)
+  // Each further response of this sort would cost as much memory again.
+  if (E->m_consecutiveSilent >= 2 || Health == AttemptHealth::Overrun)
     E->m_failureShare = std::max(E->m_failureShare, MaxFailureShare + 0.1);
   if (Failed)
     E->m_nextProbe = Now + AvoidedProbeInterval;
--- a/src/libgateway/endpoints.h
+++ b/src/libgateway/endpoints.h
@@ -40,15 +40,17 @@
 /// Health of an endpoint as shown by the end of one attempt.
 enum class AttemptHealth {
   Good,
-  Failed, ///< Error of the endpoint, or a truncated or corrupt response.
-  Silent, ///< No response before the timeout, or no connection.
-  Refused ///< Stated that it did not execute the request.
+  Failed,  ///< Error of the endpoint, or a truncated or corrupt response.
+  Silent,  ///< No response before the timeout, or no connection.
+  Refused, ///< Stated that it did not execute the request.
+  Overrun  ///< More bytes than a response may have: at fault at once.
 };
-inline constexpr NameTable<AttemptHealth, 4> AttemptHealthNames = {
+inline constexpr NameTable<AttemptHealth, 5> AttemptHealthNames = {
     {{AttemptHealth::Good, "good"},
      {AttemptHealth::Failed, "failed"},
      {AttemptHealth::Silent, "silent"},
-     {AttemptHealth::Refused, "refused"}}};
+     {AttemptHealth::Refused, "refused"},
+     {AttemptHealth::Overrun, "overrun"}}};
 
 /// Which gateway chose the endpoint of a request of this VM, and reports the
 /// load that it causes.
--- a/src/libgateway/exchange.cpp
+++ b/src/libgateway/exchange.cpp
@@ -6,6 +6,7 @@
 
 #include <algorithm>
 #include <asio/redirect_error.hpp>
+#include <array>
 #include <asio/use_awaitable.hpp>
 #include <asio/write.hpp>
 #include <fmt/format.h>
@@ -245,9 +246,9 @@
 
 /// Responds to a request whose last attempt failed and that is not retried.
 asio::awaitable<bool> Exchange::finishAfterAttempt(AttemptOutcome Outcome) {
-  if (Outcome == AttemptOutcome::Failure && !m_committed)
-    co_return co_await forwardResponse(m_failureResponse.m_head,
-                                       std::move(m_failureResponse.m_body));
+  if (Outcome == AttemptOutcome::Failure && !m_committed &&
+      m_failureResponse.m_head.m_status != 0)
+    co_return co_await forwardFailure();
   if (Outcome == AttemptOutcome::NotRun)
     co_return co_await rejectNotRun("endpoint_refused");
   co_return co_await fail("endpoint_" +
@@ -390,15 +391,31 @@
   m_committed = true;
   m_outcome = Head.isSuccess() ? "ran" : "endpoint_failure";
   std::string Out = serializeResponseHead(Head, false, Body.size());
-  Out += Body;
-  co_return co_await write(std::move(Out));
+  const bool Written = co_await write(std::move(Out), Body);
+  if (!Written && m_attempt.m_memory && m_attempt.m_memory->revoked()) {
+    m_outcome = "broken_off";
+    m_reason = "memory_short";
+  }
+  co_return Written;
+}
+
+/// Forwards the latest failure of an endpoint.
+asio::awaitable<bool> Exchange::forwardFailure() {
+  if (m_failureMemory)
+    m_attempt.m_memory = std::move(m_failureMemory);
+  holdForCaller();
+  co_return co_await forwardResponse(m_failureResponse.m_head,
+                                     std::move(m_failureResponse.m_body));
 }
 
-asio::awaitable<bool> Exchange::write(std::string Bytes) {
+/// Writes Head and then Body, which must exist until then, to the caller.
+asio::awaitable<bool> Exchange::write(std::string Head, std::string_view Body) {
   if (m_callerGone)
     co_return false;
   std::error_code Ec;
-  co_await asio::async_write(m_callerSocket, asio::buffer(Bytes),
+  const std::array<asio::const_buffer, 2> Parts = {asio::buffer(Head),
+                                                   asio::buffer(Body)};
+  co_await asio::async_write(m_callerSocket, Parts,
                              asio::redirect_error(asio::use_awaitable, Ec));
   if (Ec)
     m_callerGone = true;
@@ -461,8 +478,7 @@
   // An error response from an earlier attempt tells the caller more than an
   // error of the gateway.
   if (m_failureResponse.m_head.m_status != 0)
-    co_return co_await forwardResponse(m_failureResponse.m_head,
-                                       std::move(m_failureResponse.m_body));
+    co_return co_await forwardFailure();
   if (!m_mayHaveRun) {
     const Duration RetryAfter = currentRetryAfter(clockNow());
     co_return co_await sendLocalResponse(503, std::move(Reason), RetryAfter);
--- a/src/libgateway/exchange.h
+++ b/src/libgateway/exchange.h
@@ -70,23 +70,28 @@
   asio::awaitable<Result<void>> readMore(ConnectionPtr C);
   bool answersRequest(const ResponseMetadata &Metadata,
                       const Connection &C) const;
+  bool claimMemory(const Connection &C);
+  AttemptOutcome cutOutcome(const Connection &C) const;
+  AttemptOutcome outcomeOf(const Error &E, const Connection &C) const;
   asio::awaitable<Result<void>> readHead(ConnectionPtr C);
   void releaseConnection(const ResponseMetadata &Metadata);
   asio::awaitable<AttemptOutcome> readResponse(ConnectionPtr C);
   asio::awaitable<AttemptOutcome> relayEvents(ConnectionPtr C);
-  asio::awaitable<bool> write(std::string Bytes);
+  void holdForCaller();
+  asio::awaitable<bool> write(std::string Head, std::string_view Body = {});
   asio::awaitable<bool> sendLocalResponse(unsigned Status, std::string Reason,
                                           Duration RetryAfter);
   asio::awaitable<bool> forwardResponse(const HttpHead &Head, std::string Body);
   asio::awaitable<bool> rejectNotRun(std::string Reason);
   asio::awaitable<bool> fail(std::string Reason);
+  asio::awaitable<bool> forwardFailure();
 
   void initFromRequest(TimePoint Now);
   std::string takeEvents(bool &Invalid);
   void recordEvents(TimePoint Now);
   void recordFirstEvent();
   void recordEventGap(TimePoint Now);
-  std::string serializeRequest(TimePoint Now) const;
+  std::string serializeRequestHead(TimePoint Now) const;
   std::string serializeResponseHead(const HttpHead &Head, bool Chunked,
                                     std::size_t Length);
   bool takeRetry(TimePoint Now);
@@ -149,9 +154,10 @@
   /// Latest event that was sent to the caller.
   std::optional<std::uint64_t> m_lastEventId;
   HttpClientResponse
-      m_failureResponse;        ///< Latest complete failure; status 0 if none.
-  TimePoint m_lastEventsAt{};   ///< When the latest events arrived.
-  Duration m_longestEventGap{}; ///< Over all attempts.
+      m_failureResponse; ///< Latest complete failure; status 0 if none.
+  MemoryClaimPtr m_failureMemory; ///< Of m_failureResponse.
+  TimePoint m_lastEventsAt{};     ///< When the latest events arrived.
+  Duration m_longestEventGap{};   ///< Over all attempts.
 
   std::string m_outcome; ///< Written to the log and the metrics.
   std::string m_reason;
--- a/src/libgateway/exchangeattempt.cpp
+++ b/src/libgateway/exchangeattempt.cpp
@@ -43,9 +43,9 @@
   };
 }
 
-/// The request for the endpoint: hop-by-hop headers are removed and the
-/// gateway's own headers are set for this attempt.
-std::string Exchange::serializeRequest(TimePoint Now) const {
+/// The head of the request for the endpoint: hop-by-hop headers are removed and
+/// the gateway's own headers are set for this attempt.
+std::string Exchange::serializeRequestHead(TimePoint Now) const {
   std::string Request =
       m_head.m_method + ' ' + m_head.m_target + " HTTP/1.1\r\n";
   for (const HttpHeader &H : m_head.m_headers) {
@@ -65,9 +65,7 @@
   Request += m_core.m_dialect.attemptHeaders(Metadata);
   if (!m_body.empty() || m_head.m_length || m_head.m_chunked)
     Request += "Content-Length: " + std::to_string(m_body.size()) + "\r\n";
-  Request += "\r\n";
-  Request += m_body;
-  return Request;
+  return Request + "\r\n";
 }
 
 /// Time at which an attempt without a response times out.
@@ -127,7 +125,7 @@
       Skipped += C->m_reader.takeBody().size();
       if (Skipped > MaxResponseBodyBytes)
         co_return makeError(
-            ErrorKind::Protocol,
+            ErrorKind::Full,
             "a response to another request has no end; use another endpoint");
     }
     C->m_reader.reset();
@@ -139,7 +137,36 @@
   if (m_attemptTimer.fired())
     co_return makeError(ErrorKind::Timeout,
                         "no response in time; use another endpoint");
-  co_return co_await C->readSome();
+  BOOST_OUTCOME_CO_TRYV(co_await C->readSome());
+  if (!claimMemory(*C))
+    co_return makeError(ErrorKind::Full,
+                        "the memory of this process is short; use another "
+                        "endpoint");
+  co_return boost::outcome_v2::success();
+}
+
+/// Claims the memory of what has arrived of the response. Returns false if it
+/// is not granted.
+bool Exchange::claimMemory(const Connection &C) {
+  return m_attempt.m_memory->resize(m_attempt.m_body.capacity() +
+                                    m_attempt.m_splitter.memoryBytes() +
+                                    C.memoryBytes());
+}
+
+/// Outcome of an attempt whose response was cut for memory. One that states a
+/// rightful length is not at fault.
+AttemptOutcome Exchange::cutOutcome(const Connection &C) const {
+  const bool Bounded = C.m_reader.headComplete() && C.m_reader.head().m_length;
+  return Bounded ? AttemptOutcome::MemoryShort : AttemptOutcome::Overrun;
+}
+
+/// Outcome of an attempt whose response could not be read.
+AttemptOutcome Exchange::outcomeOf(const Error &E, const Connection &C) const {
+  if (m_attempt.m_memory->revoked())
+    return cutOutcome(C);
+  if (m_attemptTimer.fired())
+    return AttemptOutcome::Silent;
+  return E.m_kind == ErrorKind::Full ? cutOutcome(C) : AttemptOutcome::Broken;
 }
 
 /// Limits the wait for the next part of the response.
@@ -198,6 +225,9 @@
     m_core.m_pool.releaseUnused(C, Now);
     co_return AttemptOutcome::HeldBack;
   }
+  // Whatever may fail before the request is sent comes before it counts as
+  // sent.
+  std::string RequestHead = serializeRequestHead(Now);
   if (E->m_keptUntil)
     m_core.m_metrics->count("sent_to_lapsed_endpoint");
   m_core.m_suspects.onStarted(m_fingerprint, m_attempt.m_choice.m_endpoint);
@@ -205,13 +235,23 @@
   m_attempt.m_incarnation = E->m_record.m_incarnation;
   m_attempt.m_address = Address;
   m_attempt.m_connection = C;
+  m_attempt.m_memory = m_core.m_memory.claim(MemoryKind::Response, Key);
+  m_attempt.m_memory->setRevocation([this, C] {
+    C->close();
+    const bool Current = m_attempt.m_connection == C;
+    if (!Current && !m_silentAttempt)
+      return;
+    Attempt &A = Current ? m_attempt : *m_silentAttempt;
+    freeText(A.m_body);
+    A.m_splitter.clear();
+  });
   m_attempt.m_sentAt = Now;
   ++m_sentAttempts;
   limitAttempt(attemptDeadline(Now));
   if (m_silentAttempt)
     m_silentAttemptTimer.arm(Now + SilentAttemptLifetime,
                              [this] { onSilentAttemptTimeout(clockNow()); });
-  const Result<void> Sent = co_await C->send(serializeRequest(Now));
+  const Result<void> Sent = co_await C->send(std::move(RequestHead), m_body);
   m_attempt.m_sent = Sent.has_value();
   if (!Sent && m_callerGone)
     co_return AttemptOutcome::CallerGone;
@@ -237,15 +277,16 @@
     const bool IsStream =
         m_route->m_kind == RouteKind::Stream && C->m_reader.head().isSuccess();
     Outcome = IsStream ? co_await relayEvents(C) : co_await readResponse(C);
-  } else if (m_attemptTimer.fired()) {
-    Outcome = AttemptOutcome::Silent;
+  } else {
+    Outcome = outcomeOf(HeadRead.error(), *C);
   }
   m_attempt.m_closedByPeer = C->m_closedByPeer;
   m_attemptTimer.disarm();
   if (m_callerGone)
     co_return AttemptOutcome::CallerGone;
-  if (Outcome == AttemptOutcome::Broken || Outcome == AttemptOutcome::Silent ||
-      Outcome == AttemptOutcome::Failure)
+  if (Outcome == AttemptOutcome::Broken || Outcome == AttemptOutcome::Overrun ||
+      Outcome == AttemptOutcome::MemoryShort ||
+      Outcome == AttemptOutcome::Silent || Outcome == AttemptOutcome::Failure)
     m_mayHaveRun = true;
   if (std::exchange(m_superseded, false) && Outcome == AttemptOutcome::Broken)
     co_return AttemptOutcome::Superseded;
@@ -280,6 +321,9 @@
   if (m_attempt.m_connection && Outcome != AttemptOutcome::Delivered)
     m_attempt.m_connection->close();
   m_attempt.m_connection = nullptr;
+  freeText(m_attempt.m_body);
+  m_attempt.m_splitter.clear();
+  m_attempt.m_memory.reset();
   releaseEndpoint(m_attempt, Now);
 }
 
@@ -335,22 +379,40 @@
     m_core.m_pool.release(C, clockNow());
 }
 
+/// What has arrived is complete. Its connection may serve another request, so
+/// that a revocation ends the wait for the caller instead.
+void Exchange::holdForCaller() {
+  if (!m_attempt.m_memory)
+    return;
+  m_attempt.m_memory->setComplete();
+  m_attempt.m_memory->setRevocation([this] {
+    std::error_code Ignored;
+    m_callerSocket.cancel(Ignored);
+  });
+}
+
 /// Reads a complete response that is not a stream. Forwards it if it reports
 /// success; otherwise the request may still be sent to another endpoint.
 asio::awaitable<AttemptOutcome> Exchange::readResponse(ConnectionPtr C) {
   std::string &Body = m_attempt.m_body;
+  const std::uint64_t Length =
+      C->m_reader.head().m_length.value_or(MaxResponseBodyBytes);
+  if (Length > MaxResponseBodyBytes)
+    co_return AttemptOutcome::Overrun;
   for (;;) {
-    Body += C->m_reader.takeBody();
+    const std::string Part = C->m_reader.takeBody();
+    if (!m_attempt.m_memory->append(Body, Part, C->memoryBytes(), Length))
+      co_return cutOutcome(*C);
     if (C->m_reader.complete())
       break;
     if (Body.size() > MaxResponseBodyBytes)
-      co_return AttemptOutcome::Broken;
+      co_return AttemptOutcome::Overrun;
     const Result<void> Step = co_await readMore(C);
     if (!Step)
-      co_return m_attemptTimer.fired() ? AttemptOutcome::Silent
-                                       : AttemptOutcome::Broken;
+      co_return outcomeOf(Step.error(), *C);
   }
   const HttpHead Head = C->m_reader.head();
+  holdForCaller();
   m_attempt.m_status = Head.m_status;
   const ResponseMetadata Metadata = m_core.m_dialect.responseMetadata(Head);
   releaseConnection(Metadata);
@@ -367,6 +429,11 @@
     co_return AttemptOutcome::Delivered;
   }
   m_failureResponse = HttpClientResponse{Head, std::move(Body)};
+  m_failureMemory = std::move(m_attempt.m_memory);
+  m_failureMemory->setRevocation([this] {
+    freeText(m_failureResponse.m_body);
+    m_failureResponse.m_head = HttpHead();
+  });
   co_return AttemptOutcome::Failure;
 }
 
@@ -409,6 +476,7 @@
     break;
   case AttemptOutcome::NotSent:
   case AttemptOutcome::HeldBack:
+  case AttemptOutcome::MemoryShort:
   case AttemptOutcome::Superseded:
     Health = AttemptHealth::Refused;
     break;
@@ -420,6 +488,9 @@
   case AttemptOutcome::Broken:
     Health = AttemptHealth::Failed;
     break;
+  case AttemptOutcome::Overrun:
+    Health = AttemptHealth::Overrun;
+    break;
   }
   Table.onHealth(Id, Health, Now);
   m_attempt.m_observation.m_health = Health;
--- a/src/libgateway/exchangestream.cpp
+++ b/src/libgateway/exchangestream.cpp
@@ -135,7 +135,8 @@
       co_return AttemptOutcome::Delivered;
     }
     if (Truncated)
-      co_return AttemptOutcome::Broken;
+      co_return Splitter.pending() > MaxEventBytes ? AttemptOutcome::Overrun
+                                                   : AttemptOutcome::Broken;
     if (!NewEvents.empty()) {
       const TimePoint Latest = m_deadline + DeadlineGrace;
       limitAttempt(MayFailOver ? std::min<TimePoint>(
@@ -144,8 +145,7 @@
     }
     const Result<void> Step = co_await readMore(C);
     if (!Step)
-      co_return m_attemptTimer.fired() ? AttemptOutcome::Silent
-                                       : AttemptOutcome::Broken;
+      co_return outcomeOf(Step.error(), *C);
   }
 }
 
--- a/src/libgateway/gateway.cpp
+++ b/src/libgateway/gateway.cpp
@@ -73,6 +73,7 @@
       m_placement(Io, AdapterRequestBatchDelay, [this] { place(clockNow()); }),
       m_announcement(Io, AnnounceDelay, [this] {
         m_peers.announceHoldings(fencingToken(), clockNow());
+  m_storePool.limitMemory(m_core.m_memory);
       }) {
   m_core.m_schedulerClient = &m_schedulerClient;
   m_peers.setOnMessage(
@@ -293,6 +294,14 @@
       m_fleetLoadsSentAt = Now;
       m_peers.sendFleetLoads(Now);
     }
+void Gateway::exportMemory() {
+  for (const auto &[Kind, Name] : MemoryKindNames)
+    m_core.m_metrics->gauge("memory_held_bytes_" + std::string(Name),
+                            static_cast<double>(m_core.m_memory.held(Kind)));
+  m_core.m_metrics->gauge("memory_budget_bytes",
+                          static_cast<double>(m_core.m_memory.limit()));
+}
+
     if (isLeader())
       m_placement.request();
   }
@@ -311,6 +320,7 @@
     m_core.m_endpoints.expire(Now);
     m_core.m_brokenAttempts.expire(Now);
     if (!m_storeUnavailable && Now >= m_lapsedRecordsUntil &&
+    exportMemory();
         Now - m_core.m_copyConfirmedAt <= changeLimit())
       m_core.dropRefutedStrikes(Now);
     m_scheduler.expire(reportLifetime(m_core.m_gatewayCount), Now);
--- a/src/libgateway/gateway.h
+++ b/src/libgateway/gateway.h
@@ -74,6 +74,7 @@
   asio::awaitable<void> maintainLease();
   asio::awaitable<void> claimLeadership();
   asio::awaitable<void> runMaintenance();
+  void exportMemory();
   asio::awaitable<void> sendReports();
   asio::awaitable<void>
   acceptStatusConnections(std::shared_ptr<asio::ip::tcp::acceptor> Acceptor,
--- a/src/libgateway/gatewaystatus.cpp
+++ b/src/libgateway/gatewaystatus.cpp
@@ -57,9 +57,14 @@
 std::string Gateway::operatorPage(const HttpHead &Head, unsigned &Status) {
   Status = 200;
   const std::string Path(Head.path());
-  if (Path.rfind(SuspectsPath, 0) != 0)
+  if (Path.rfind(SuspectsPath, 0) != 0) {
+    rusage Usage{};
+    if (getrusage(RUSAGE_SELF, &Usage) == 0)
+      m_core.m_metrics->gauge("peak_resident_bytes",
+                              1024.0 * static_cast<double>(Usage.ru_maxrss));
     return m_core.m_metrics->text();
   const SuspectsReply Reply =
+  }
       answerSuspects(Head.m_method, Path, m_core.m_suspects, clockNow());
   Status = Reply.m_status;
   if (Reply.m_cleared) {
--- a/src/libgateway/placementleader.cpp
+++ b/src/libgateway/placementleader.cpp
@@ -252,7 +252,8 @@
   const TimePoint Sent = clockNow();
   Result<HttpClientResponse> Response = co_await callHttp(
       m_core.m_io, m_core.m_pool, controlKey(Move.m_engine, Address), Address,
-      Request, OrderTimeout, ConnectionReuse::AfterSuccess);
+      Request, {OrderTimeout, MaxOrderResponseBytes},
+      ConnectionReuse::AfterSuccess);
   OrderResult Outcome = OrderResult::Unknown;
   if (Response) {
     Outcome = m_core.m_dialect.orderResult(Response.value().m_head.m_status);
@@ -286,10 +287,10 @@
   const std::string Address = E->m_record.m_address;
   const std::uint64_t Incarnation = E->m_record.m_incarnation;
   const TimePoint RequestedAt = clockNow();
-  Result<HttpClientResponse> Response =
-      co_await callHttp(m_core.m_io, m_core.m_pool, controlKey(Id, Address),
-                        Address, m_core.m_dialect.reportRequest(E->m_record),
-                        OrderTimeout, ConnectionReuse::AfterSuccess);
+  Result<HttpClientResponse> Response = co_await callHttp(
+      m_core.m_io, m_core.m_pool, controlKey(Id, Address), Address,
+      m_core.m_dialect.reportRequest(E->m_record),
+      {OrderTimeout, MaxReportBytes}, ConnectionReuse::AfterSuccess);
   if (Response)
     m_core.onResponse(Id, Incarnation, Response.value().m_head, clockNow());
   if (!Response || Response.value().m_head.m_status != 200)
--- a/src/libgateway/settings.cpp
+++ b/src/libgateway/settings.cpp
@@ -10,6 +10,8 @@
 
 namespace {
 
+constexpr double BytesPerMb = 1'000'000;
+
 Error settingError(const std::string &Key, const std::string &Found,
                    const std::string &Expected) {
   return makeError(ErrorKind::InvalidArgument,
@@ -83,6 +85,13 @@
       {"vm.cpu-share", SettingType::Number, "cores", 0.001, 1024,
        [](S &O, Str, double V) { O.m_cpuShare = V; },
        [](const S &O) { return shown(O.m_cpuShare); }},
+      {"vm.memory-mb", SettingType::Number, "MB, 0: that of the VM", 0, 1e8,
+       [](S &O, Str, double V) {
+         O.m_memoryBytes = static_cast<std::size_t>(V * BytesPerMb);
+       },
+       [](const S &O) {
+         return shown(static_cast<double>(O.m_memoryBytes) / BytesPerMb);
+       }},
       {"listen.callers", SettingType::Address, "IP:PORT", 0, 0,
        [](S &O, Str T, double) { O.m_callers = T; },
        [](const S &O) { return O.m_callers; }},
@@ -136,8 +145,8 @@
 /// Settings that have a default; all others are required.
 bool hasDefault(const std::string &Key) {
   return Key == "vm.descriptors" || Key == "vm.cpu-share" ||
-         Key == "listen.metrics" || Key == "store.lease-ms" ||
-         Key == "store.drain-limit-ms" ||
+         Key == "vm.memory-mb" || Key == "listen.metrics" ||
+         Key == "store.lease-ms" || Key == "store.drain-limit-ms" ||
          Key == "store.configuration-limit-ms" || Key == "stop.limit-s" ||
          Key.rfind("retries.", 0) == 0;
 }
--- a/src/libgateway/settings.h
+++ b/src/libgateway/settings.h
@@ -30,6 +30,8 @@
   RetryLimit m_retries;
   unsigned m_descriptors = 1024; ///< Maximum number of open files and sockets.
   double m_cpuShare = 1;         ///< Cores that this VM may use.
+  /// Memory that this process may use; 0: what it can read of its VM.
+  std::size_t m_memoryBytes = 0;
 };
 
 /// One row of the table of settings, for --check and the documentation.
