--- a/src/libgateway/callers.cpp
+++ b/src/libgateway/callers.cpp
@@ -7,6 +7,7 @@
 #include <asio/redirect_error.hpp>
 #include <asio/use_awaitable.hpp>
 #include <asio/write.hpp>
+#include <fmt/format.h>
 
 #if defined(__GNUC__) && !defined(__clang__)
 // False positive of g++ 12: it inlines only one of Asio's pair of allocation
@@ -18,9 +19,17 @@
 
 namespace {
 
+constexpr unsigned StatusUnavailable = 503;
 constexpr std::size_t ReadBufferBytes = 8'192;
 constexpr std::size_t DefaultMaxHeadBytes = 65'536;
 
+std::string peerAddress(const asio::ip::tcp::socket &Socket) {
+  std::error_code Ec;
+  const asio::ip::tcp::endpoint Peer = Socket.remote_endpoint(Ec);
+  return Ec ? std::string()
+            : Peer.address().to_string() + ':' + std::to_string(Peer.port());
+}
+
 } // namespace
 
 CallerConnection::CallerConnection(Core &Shared, CallerListener &Listener,
@@ -32,10 +41,11 @@
                    ? Shared.m_configuration->m_limits.m_headerBytes
                    : DefaultMaxHeadBytes) {}
 
-asio::awaitable<bool> CallerConnection::reject(unsigned Status) {
+asio::awaitable<bool> CallerConnection::reject(unsigned Status,
+                                               std::string ExtraHeaders) {
   std::error_code Ignored;
-  const std::string Out =
-      statusLine(Status) + "Content-Length: 0\r\nConnection: close\r\n\r\n";
+  const std::string Out = statusLine(Status) + ExtraHeaders +
+                          "Content-Length: 0\r\nConnection: close\r\n\r\n";
   m_core.m_metrics->count("caller_refused_" + std::to_string(Status));
   decisionlog::line(LogClass::Failure, "caller_refused")
       .number("status", Status);
@@ -103,10 +113,8 @@
     if (!Consumed)
       return Consumed.error().m_kind == ErrorKind::Full ? 431 : 400;
     m_input.erase(0, Consumed.value());
-    m_body += m_reader.takeBody();
-    if (m_body.size() > Limits.m_bodyBytes ||
-        m_reader.head().m_length.value_or(0) > Limits.m_bodyBytes)
-      return 413;
+    if (const std::optional<unsigned> Status = takeBody(Limits))
+      return Status;
     if (Consumed.value() == 0)
       break;
   }
@@ -139,6 +147,23 @@
   if (End == ReadEnd::TimedOut && !m_core.m_closing) {
     m_core.m_metrics->count("caller_idle_closed");
     const TimePoint Now = clockNow();
+/// Takes the bytes of the body that were parsed, as far as the limits and the
+/// memory of this process allow.
+std::optional<unsigned> CallerConnection::takeBody(const CallerLimits &Limits) {
+  const std::string Part = m_reader.takeBody();
+  const std::uint64_t Length = m_reader.head().m_length.value_or(0);
+  const std::size_t Size =
+      std::max<std::size_t>(Length, m_body.size() + Part.size());
+  if (Size > Limits.m_bodyBytes)
+    return 413;
+  if (m_reader.headComplete() && !m_core.m_memory.admitsRequest(Size))
+    return StatusUnavailable;
+  const bool Granted = m_memory->append(
+      m_body, Part, m_input.capacity() + m_reader.memoryBytes(),
+      m_reader.head().m_length ? Size : Limits.m_bodyBytes);
+  return Granted ? std::nullopt : std::optional(StatusUnavailable);
+}
+
     decisionlog::line(LogClass::KnownState, "caller_idle_closed")
         .real("idle_ms", toMillis(Now - m_idleSince))
         .real("config_age_ms", toMillis(Now - m_core.m_configurationAt));
@@ -196,10 +221,14 @@
   m_socket.async_wait(asio::ip::tcp::socket::wait_read,
                       [Self = shared_from_this()](std::error_code Ec) {
                         Self->onReadable(Ec);
+      if (Status.value_or(StatusUnavailable) == StatusUnavailable)
+        co_return co_await rejectForMemory();
                       });
 }
 
 /// While a request is served: buffers bytes of the next request, and notifies
+      m_memory->pin();
+      m_requestMemory = m_memory->bytes();
 /// the exchange when the caller closes the connection.
 void CallerConnection::onReadable(std::error_code Ec) {
   if (!m_monitoring || Ec == asio::error::operation_aborted)
@@ -207,9 +236,12 @@
   char Buffer[ReadBufferBytes];
   const ssize_t N =
       recv(m_socket.native_handle(), Buffer, sizeof(Buffer), MSG_DONTWAIT);
+    if (m_memory->revoked())
+      continue;
   if (N > 0) {
     m_input.append(Buffer, static_cast<std::size_t>(N));
-    if (m_input.size() < MaxPipelinedBytes)
+    if (m_input.size() < MaxPipelinedBytes &&
+        m_memory->resize(m_requestMemory + m_input.capacity()))
       waitReadable();
     return;
   }
--- a/src/libgateway/callers.h
+++ b/src/libgateway/callers.h
@@ -52,11 +52,14 @@
   asio::awaitable<bool> readRequest();
   std::optional<unsigned> parse(const CallerLimits &Limits);
   asio::awaitable<bool> answerExpectation(Milliseconds BodyTimeout);
+  std::optional<unsigned> takeBody(const CallerLimits &Limits);
   asio::awaitable<ReadEnd> readMore();
   asio::awaitable<bool> onReadEnded(ReadEnd End);
   void limitIdleTime();
   void limitRequestTime(Milliseconds Timeout);
-  asio::awaitable<bool> reject(unsigned Status);
+  asio::awaitable<bool> reject(unsigned Status, std::string ExtraHeaders = "");
+  asio::awaitable<bool> rejectForMemory();
+  void dropRequest();
   asio::awaitable<void> linger();
   void startMonitoring();
   void stopMonitoring();
@@ -72,6 +75,10 @@
   std::string m_body;
   bool m_expectationAnswered = false; ///< Of the request that is being read.
   TimePoint m_idleSince{};            ///< When the wait for a request began.
+  const std::string m_peer; ///< Address of the caller.
+  /// Of the request that is read or served, and of bytes that follow it.
+  MemoryClaimPtr m_memory;
+  std::size_t m_requestMemory = 0;    ///< Part of m_memory without those bytes.
   TimePoint m_firstByteAt{};
   std::shared_ptr<Exchange> m_exchange; ///< The current request; null if none.
   bool m_monitoring = false;
