--- a/src/libgateway/endpoints.cpp
+++ b/src/libgateway/endpoints.cpp
@@ -271,6 +271,17 @@
     E->m_failureShare = std::max(E->m_failureShare, MaxFailureShare + 0.1);
   if (Failed)
     E->m_nextProbe = Now + AvoidedProbeInterval;
+  if (Health == AttemptHealth::Overrun)
+    E->m_overrunAt = Now;
+}
+
+void EndpointTable::onPeerOverrun(const std::string &Id,
+                                  std::uint64_t Incarnation, TimePoint Now) {
+  Endpoint *E = find(Id);
+  if (!E || E->m_record.m_incarnation != Incarnation)
+    return;
+  E->m_failureShare = std::max(E->m_failureShare, MaxFailureShare + 0.1);
+  E->m_nextProbe = Now + AvoidedProbeInterval;
 }
 
 void EndpointTable::onFirstByte(const std::string &Id, Duration Latency) {
--- a/src/libgateway/endpoints.h
+++ b/src/libgateway/endpoints.h
@@ -81,6 +81,7 @@
   double m_intervalMs = 0;   ///< Decaying mean interval between stream events.
   double m_stallShare = 0;   ///< Decaying share of stalled streams.
   TimePoint m_nextProbe{};   ///< Next probe request while it is avoided.
+  TimePoint m_overrunAt{};   ///< Latest overrun that this VM has seen.
   unsigned m_consecutiveSilent = 0;
   /// Recently rejected artifacts, with the time until which each counts.
   std::map<std::string, TimePoint> m_rejectedArtifacts;
@@ -196,6 +197,9 @@
   /// Mean prefill time per prompt token on the service's engines.
   double prefillMsPerToken(const std::string &Service) const;
   void onHealth(const std::string &Id, AttemptHealth Health, TimePoint Now);
+  /// Another VM has seen an overrun of this incarnation.
+  void onPeerOverrun(const std::string &Id, std::uint64_t Incarnation,
+                     TimePoint Now);
   void onFirstByte(const std::string &Id, Duration Latency);
   /// Records whether a stream had a pause over its target (Stalled) or ended
   /// without one.
--- a/src/libgateway/endpoints_test.cpp
+++ b/src/libgateway/endpoints_test.cpp
@@ -147,3 +147,21 @@
   Table.removeAllPeerLoads();
   EXPECT_EQ(Table.find("e1")->load().m_requests, 0U);
 }
+
+// Guards against each VM paying for responses without end of its own before it
+// avoids their endpoint.
+TEST(EndpointTable, OverrunIsAvoidedAtOnceHereAndAtPeers) {
+  EndpointTable Own;
+  Own.onRecord(record("e1", 7), Start);
+  Own.onHealth("e1", AttemptHealth::Overrun, Start);
+  EXPECT_GT(Own.find("e1")->m_failureShare, MaxFailureShare);
+  EXPECT_EQ(Own.find("e1")->m_overrunAt, Start);
+  EndpointTable Peer;
+  Peer.onRecord(record("e1", 7), Start);
+  Peer.onPeerOverrun("e1", 6, Start);
+  EXPECT_EQ(Peer.find("e1")->m_failureShare, 0);
+  Peer.onPeerOverrun("e1", 7, Start);
+  EXPECT_GT(Peer.find("e1")->m_failureShare, MaxFailureShare);
+  // What a peer told is not told again.
+  EXPECT_EQ(Peer.find("e1")->m_overrunAt, TimePoint());
+}
--- a/src/libgateway/peerreport.cpp
+++ b/src/libgateway/peerreport.cpp
@@ -97,6 +97,11 @@
     for (const PeerStrike &S : R.m_strikes)
       Strikes.push_back(Json::array({S.m_fingerprint, S.m_crash}));
   }
+  if (!R.m_overruns.empty()) {
+    Json &Overruns = Out["o"] = Json::array();
+    for (const PeerOverrun &O : R.m_overruns)
+      Overruns.push_back(Json::array({O.m_endpoint, O.m_incarnation}));
+  }
   return Out;
 }
 
@@ -126,6 +131,9 @@
                             decodeHeld(Row.at(3))});
   for (const Json &Row : In.value("x", Json::array()))
     R.m_strikes.push_back({decodeNumber(Row.at(0)), decodeNumber(Row.at(1))});
+  for (const Json &Row : In.value("o", Json::array()))
+    R.m_overruns.push_back(
+        {Row.at(0).get<std::string>(), decodeNumber(Row.at(1))});
   return R;
 }
 
--- a/src/libgateway/peerreport.h
+++ b/src/libgateway/peerreport.h
@@ -44,6 +44,12 @@
   std::uint64_t m_crash = 0;
 };
 
+/// An endpoint whose response had no end.
+struct PeerOverrun {
+  std::string m_endpoint;
+  std::uint64_t m_incarnation = 0;
+};
+
 struct PeerReport {
   std::string m_sender;
   std::uint64_t m_start = 0;    ///< Wall-clock start time of the sender, in ms.
@@ -61,6 +67,7 @@
       m_usedAdapters;                  ///< Requested since the last report.
   std::vector<PeerHolding> m_holdings; ///< Sent by the leader only.
   std::vector<PeerStrike> m_strikes;
+  std::vector<PeerOverrun> m_overruns; ///< Seen by the sender recently.
 };
 
 /// Minimum interval between two reports of one gateway.
--- a/src/libgateway/peerreport_test.cpp
+++ b/src/libgateway/peerreport_test.cpp
@@ -22,6 +22,7 @@
   R.m_usedAdapters = {{"m1", "a2"}};
   R.m_holdings = {{"e1", 77, 12, {HeldModel{"m1", 3, {"a1", "a2"}}}}};
   R.m_strikes = {{~0ULL, 5}};
+  R.m_overruns = {{"e1", 77}};
   R.m_leaderToken = 41;
   R.m_fleetLoads = {{"e2", {7, 9000, 300}}};
   return R;
@@ -39,6 +40,9 @@
   EXPECT_EQ(R.value().m_wantedAdapters[0].m_artifact.second, "a2");
   EXPECT_EQ(R.value().m_holdings[0].m_held[0].m_adapters.size(), 2U);
   EXPECT_EQ(R.value().m_strikes[0].m_fingerprint, ~0ULL);
+  ASSERT_EQ(R.value().m_overruns.size(), 1U);
+  EXPECT_EQ(R.value().m_overruns[0].m_endpoint, "e1");
+  EXPECT_EQ(R.value().m_overruns[0].m_incarnation, 77U);
   EXPECT_EQ(R.value().m_leaderToken, 41U);
   EXPECT_EQ(R.value().m_fleetLoads.at(0).m_load.m_requests, 7U);
 }
--- a/src/libgateway/peers.cpp
+++ b/src/libgateway/peers.cpp
@@ -188,6 +188,10 @@
   collectStrikes(Now);
   for (const RecentStrike &S : m_strikes)
     R.m_strikes.push_back(S.m_strike);
+  for (const auto &[Id, E] : m_core.m_endpoints.all())
+    if (E.m_overrunAt != TimePoint{} &&
+        Now - E.m_overrunAt <= OverrunRepeatPeriod)
+      R.m_overruns.push_back({Id, E.m_record.m_incarnation});
   for (auto It = m_changedHoldings.begin(); It != m_changedHoldings.end();) {
     const Endpoint *E = m_core.m_endpoints.find(It->first);
     if (!E || LeaderToken == 0 || Now - It->second > HoldingRepeatPeriod) {
@@ -243,8 +247,8 @@
   m_core.m_fleetDemand.onReport(Report, Now);
   m_changedLoads.clear();
   // Coordinators must also hear that there are no loads any more.
-  const bool ForAll =
-      !Report.m_loads.empty() || m_sentLoads || !Report.m_strikes.empty();
+  const bool ForAll = !Report.m_loads.empty() || m_sentLoads ||
+                      !Report.m_strikes.empty() || !Report.m_overruns.empty();
   m_sentLoads = !Report.m_loads.empty();
   sendTo(Report, m_audience.receivers(m_leader, ForAll));
   repeatSuspects(Now);
@@ -387,6 +391,8 @@
     m_core.m_endpoints.onAnnouncedHoldings(H.m_endpoint, H.m_incarnation,
                                            H.m_orders, H.m_held, Now);
   applyStrikes(Report, Now);
+  for (const PeerOverrun &O : Report.m_overruns)
+    m_core.m_endpoints.onPeerOverrun(O.m_endpoint, O.m_incarnation, Now);
   if (!Report.m_partial)
     m_core.m_fleetDemand.onReport(Report, Now);
   const bool HasLoads = !Report.m_loads.empty() || !Report.m_fleetLoads.empty();
--- a/src/libgateway/peers.h
+++ b/src/libgateway/peers.h
@@ -34,6 +34,9 @@
 /// Interval at which the strikes of suspects that compete or are refused are
 /// told again, for gateways that were away or start later.
 inline constexpr Milliseconds SuspectRepeatInterval{1000};
+/// An overrun of an endpoint is repeated in reports for this long. One report
+/// may be lost.
+inline constexpr Milliseconds OverrunRepeatPeriod{600};
 /// Most strikes that are kept for repetition.
 inline constexpr std::size_t RecentStrikesMax = 256;
 
