--- a/src/libgateway/attempt.h
+++ b/src/libgateway/attempt.h
@@ -102,6 +102,8 @@
   bool m_closedByPeer = false;
   /// It was sent and counts among the runs at its endpoint.
   bool m_running = false;
+  /// It counts in the load of its endpoint.
+  bool m_counted = false;
   /// Another endpoint responded at the address of the chosen one.
   bool m_endpointReplaced = false;
   /// What it has shown so far, for its coordinator.
--- a/src/libgateway/callers.cpp
+++ b/src/libgateway/callers.cpp
@@ -1,9 +1,9 @@
 // Accepts connections of callers and reads their requests.
 #include "libgateway/callers.h"
 #include "libgateway/log.h"
+#include "libgateway/retryafter.h"
+#include "libgateway/tasks.h"
 
-#include <asio/co_spawn.hpp>
-#include <asio/detached.hpp>
 #include <asio/redirect_error.hpp>
 #include <asio/use_awaitable.hpp>
 #include <asio/write.hpp>
@@ -283,8 +283,8 @@
         asio::buffer(Buffer), asio::redirect_error(asio::use_awaitable, Ec));
 }
 
-asio::awaitable<void> CallerConnection::run() {
-  const std::shared_ptr<CallerConnection> Self = shared_from_this();
+/// Serves requests until one of them is the last.
+asio::awaitable<void> CallerConnection::serveRequests() {
   for (;;) {
     if (!co_await readRequest())
       break;
@@ -341,6 +341,19 @@
       m_core.m_settings.m_descriptors > 2 * ReservedDescriptors
           ? m_core.m_settings.m_descriptors - ReservedDescriptors
           : m_core.m_settings.m_descriptors / 2;
+}
+
+asio::awaitable<void> CallerConnection::run() {
+  const std::shared_ptr<CallerConnection> Self = shared_from_this();
+  try {
+    co_await serveRequests();
+  } catch (const std::exception &) {
+    reportException(*m_core.m_metrics, "caller_connection",
+                    std::current_exception());
+  }
+  stopMonitoring();
+  m_exchange = nullptr;
+  dropRequest();
   while (m_acceptor.is_open()) {
     std::error_code Ec;
     asio::ip::tcp::socket Socket = co_await m_acceptor.async_accept(
@@ -363,8 +376,8 @@
     auto C =
         std::make_shared<CallerConnection>(m_core, *this, std::move(Socket));
     m_connections.insert(C.get());
-    asio::co_spawn(
-        m_core.m_io, [C]() { return C->run(); }, asio::detached);
+    spawnTask(m_core.m_io, *m_core.m_metrics, "caller_connection",
+              [C] { return C->run(); });
   }
 }
 
--- a/src/libgateway/callers.h
+++ b/src/libgateway/callers.h
@@ -49,6 +49,7 @@
   /// How a wait for bytes of the caller ended.
   enum class ReadEnd { Bytes, TimedOut, Closed };
 
+  asio::awaitable<void> serveRequests();
   asio::awaitable<bool> readRequest();
   std::optional<unsigned> parse(const CallerLimits &Limits);
   asio::awaitable<bool> answerExpectation(Milliseconds BodyTimeout);
--- a/src/libgateway/exchange.cpp
+++ b/src/libgateway/exchange.cpp
@@ -2,6 +2,7 @@
 #include "libgateway/exchange.h"
 #include "libgateway/log.h"
 #include "libgateway/retryafter.h"
+#include "libgateway/tasks.h"
 #include "primroseworks/hash.h"
 
 #include <algorithm>
@@ -93,6 +94,7 @@
 /// Counts the request at its endpoint.
 void Exchange::place(const Choice &Placement, PlacedBy By) {
   m_placed = true;
+  m_attempt.m_counted = true;
   m_attempt.m_choice = Placement;
   m_attempt.m_placedBy = By;
   m_core.m_endpoints.onSent(Placement.m_endpoint, m_query.m_size, By);
@@ -101,7 +103,8 @@
 }
 
 /// Ends an attempt's use of its endpoint.
-void Exchange::releaseEndpoint(const Attempt &A, TimePoint Now) {
+void Exchange::releaseEndpoint(Attempt &A, TimePoint Now) {
+  A.m_counted = false;
   if (A.m_running)
     m_core.m_suspects.onEnded(m_fingerprint, A.m_choice.m_endpoint);
   m_core.release(A.m_choice.m_endpoint, m_query, A.m_placedBy, A.m_prefillDone,
@@ -112,7 +115,17 @@
 
 asio::awaitable<bool> Exchange::run() {
   m_keepAlive = m_head.m_keepAlive;
-  const bool Keep = co_await serve();
+  bool Keep = false;
+  std::exception_ptr Thrown;
+  try {
+    Keep = co_await serve();
+  } catch (const std::exception &) {
+    Thrown = std::current_exception();
+  }
+  if (Thrown) {
+    reportException(*m_core.m_metrics, "request", Thrown);
+    Keep = co_await endAfterException();
+  }
   const TimePoint Now = clockNow();
   endSilentAttempt(Now);
   if (m_callerGone && m_outcome.empty()) {
@@ -123,6 +136,29 @@
   co_return Keep && !m_callerGone && m_keepAlive;
 }
 
+/// Gives back what a request holds whose service an exception ended, and tells
+/// its caller what is known.
+asio::awaitable<bool> Exchange::endAfterException() {
+  withdrawWait();
+  m_attemptTimer.disarm();
+  if (m_attempt.m_connection)
+    m_attempt.m_connection->close();
+  if (m_attempt.m_counted)
+    releaseEndpoint(m_attempt, clockNow());
+  m_mayHaveRun = m_mayHaveRun || attemptsThatMayHaveRun() > 0;
+  co_return !m_callerGone && co_await fail("internal_error");
+}
+
+/// Ends all waits of the request for an endpoint.
+void Exchange::withdrawWait() {
+  if (m_ticket != 0)
+    m_attempt.m_choice.m_obstacle = m_core.cancel(m_ticket);
+  m_ticket = 0;
+  if (m_scheduleTicket != 0)
+    m_core.m_schedulerClient->withdraw(m_scheduleTicket);
+  m_scheduleTicket = 0;
+}
+
 /// Initializes the deadline, the endpoint query and the fingerprint from the
 /// request and its route, and counts the request in the retry window and the
 /// demand.
@@ -310,14 +346,15 @@
   const TimePoint Now = clockNow();
   const WaitLimits Limits = waitLimits(Now);
   m_scheduleDecided = false;
-  const TicketId Ticket =
+  m_scheduleTicket =
       m_core.m_schedulerClient->request(m_query, Limits, *this, Now);
-  if (Ticket == 0)
+  if (m_scheduleTicket == 0)
     co_return false;
   const TimePoint Until = Now + Limits.m_maxWait;
   co_await waitForEndpoint(Until);
   if (!m_placed)
-    m_core.m_schedulerClient->withdraw(Ticket);
+    m_core.m_schedulerClient->withdraw(m_scheduleTicket);
+  m_scheduleTicket = 0;
   co_return m_scheduleDecided || m_callerGone || clockNow() >= Until;
 }
 
@@ -361,10 +398,9 @@
   co_await waitForEndpoint(Now + Limits.m_maxWait);
   if (m_placed)
     co_return true;
-  m_attempt.m_choice.m_obstacle = m_core.cancel(A.m_ticket);
+  withdrawWait();
   m_expectedWait = m_core.expectedWait(m_query, m_attempt.m_choice.m_obstacle,
                                        Limits.m_onTimeUntil, clockNow());
-  m_ticket = 0;
   co_return false;
 }
 
--- a/src/libgateway/exchange.h
+++ b/src/libgateway/exchange.h
@@ -42,6 +42,8 @@
 
 private:
   asio::awaitable<bool> serve();
+  asio::awaitable<bool> endAfterException();
+  void withdrawWait();
   asio::awaitable<bool> rejectUnconfigured(TimePoint Now);
   asio::awaitable<bool> finishAfterAttempt(AttemptOutcome Outcome);
   asio::awaitable<bool> acquireEndpoint();
@@ -52,7 +54,7 @@
   asio::awaitable<bool> acquireFromCoordinator();
   asio::awaitable<void> waitForEndpoint(TimePoint Until);
   void place(const Choice &Placement, PlacedBy By);
-  void releaseEndpoint(const Attempt &A, TimePoint Now);
+  void releaseEndpoint(Attempt &A, TimePoint Now);
   WaitLimits waitLimits(TimePoint Now) const;
   unsigned attemptsThatMayHaveRun() const {
     return m_sentAttempts - m_refusedAttempts;
@@ -122,7 +124,8 @@
   /// Limits the wait for an endpoint; cancelled to end it.
   asio::steady_timer m_waitTimer;
   TicketId m_ticket = 0; ///< Set while the request is in the wait queue.
-  bool m_placed = false; ///< m_attempt has an endpoint.
+  TicketId m_scheduleTicket = 0; ///< Set while a coordinator is asked.
+  bool m_placed = false;         ///< m_attempt has an endpoint.
   /// The coordinator's answer is the final one: it is not asked again and this
   /// VM does not choose itself.
   bool m_scheduleDecided = false;
--- a/src/libgateway/exchangeattempt.cpp
+++ b/src/libgateway/exchangeattempt.cpp
@@ -345,7 +345,7 @@
   m_silentAttemptTimer.disarm();
   if (!m_silentAttempt)
     return;
-  const Attempt Ended = std::move(*m_silentAttempt);
+  Attempt Ended = std::move(*m_silentAttempt);
   m_silentAttempt.reset();
   Ended.m_connection->close();
   releaseEndpoint(Ended, Now);
--- a/src/libgateway/gateway.cpp
+++ b/src/libgateway/gateway.cpp
@@ -5,8 +5,6 @@
 #include "libgateway/log.h"
 #include "primroseworks/version.h"
 
-#include <asio/co_spawn.hpp>
-#include <asio/detached.hpp>
 #include <asio/redirect_error.hpp>
 #include <asio/use_awaitable.hpp>
 #include <csignal>
@@ -98,25 +96,20 @@
     BOOST_OUTCOME_TRYV(openStatusListener(m_core.m_settings.m_metrics, true));
   }
   BOOST_OUTCOME_TRYV(m_callerListener.open(m_core.m_settings.m_callers));
-  using asio::co_spawn;
-  using asio::detached;
-  co_spawn(
-      m_io, [this] { return m_callerListener.run(); }, detached);
-  co_spawn(
-      m_io, [this] { return m_peers.receive(); }, detached);
-  co_spawn(
-      m_io, [this] { return watchStore(); }, detached);
-  co_spawn(
-      m_io, [this] { return maintainLease(); }, detached);
-  co_spawn(
-      m_io, [this] { return runMaintenance(); }, detached);
-  co_spawn(
-      m_io, [this] { return sendReports(); }, detached);
-  co_spawn(
-      m_io, [this] { return awaitSignals(); }, detached);
+  startLoop("callers", [this] { return m_callerListener.run(); });
+  startLoop("peers", [this] { return m_peers.receive(); });
+  startLoop("store_watch", [this] { return watchStore(); });
+  startLoop("lease", [this] { return maintainLease(); });
+  startLoop("maintenance", [this] { return runMaintenance(); });
+  startLoop("reports", [this] { return sendReports(); });
+  startLoop("signals", [this] { return awaitSignals(); });
   return boost::outcome_v2::success();
 }
 
+void Gateway::startLoop(const char *Name, TaskFactory Create) {
+  spawnLoop(m_io, *m_core.m_metrics, Name, std::move(Create));
+}
+
 asio::awaitable<void> Gateway::sleep(Duration Time) {
   asio::steady_timer Timer(m_io, Time);
   std::error_code Ignored;
@@ -189,8 +182,10 @@
         .text("reason", "key_seen");
   }
   if (Leader.empty() && !m_claimInProgress && !m_core.m_stopping)
-    asio::co_spawn(
-        m_io, [this] { return claimLeadership(); }, asio::detached);
+    spawnTask(
+        m_io, *m_core.m_metrics, "leadership",
+        [this] { return claimLeadership(); },
+        [this] { m_claimInProgress = false; });
 }
 
 /// Obtains and renews the lease, and writes this gateway's member key under it.
@@ -407,7 +402,9 @@
       continue;
     }
     if (!m_core.m_stopping)
-      asio::co_spawn(m_io, drain(), asio::detached);
+      spawnTask(
+          m_io, *m_core.m_metrics, "stop", [this] { return drain(); },
+          [this] { m_io.stop(); });
   }
 }
 
--- a/src/libgateway/gateway.h
+++ b/src/libgateway/gateway.h
@@ -12,6 +12,7 @@
 #include "libgateway/schedulerclient.h"
 #include "libgateway/store.h"
 #include "libgateway/storerelay.h"
+#include "libgateway/tasks.h"
 #include "libgateway/watchpause.h"
 
 #include <asio/awaitable.hpp>
@@ -85,6 +86,7 @@
   asio::awaitable<void> drain();
   asio::awaitable<void> awaitSignals();
   asio::awaitable<void> sleep(Duration Time);
+  void startLoop(const char *Name, TaskFactory Create);
 
   Result<void> openStatusListener(const std::string &Address, bool Metrics);
   void applyConfiguration(const StoreItem &Item);
--- a/src/libgateway/gatewaystatus.cpp
+++ b/src/libgateway/gatewaystatus.cpp
@@ -3,8 +3,6 @@
 #include "libgateway/log.h"
 #include "libgateway/suspectspage.h"
 
-#include <asio/co_spawn.hpp>
-#include <asio/detached.hpp>
 #include <asio/redirect_error.hpp>
 #include <asio/use_awaitable.hpp>
 #include <asio/write.hpp>
@@ -31,8 +29,9 @@
                      "cannot listen at " + Address + ": " + Ec.message() +
                          "; stop the process that uses this port or change the "
                          "settings under listen");
-  asio::co_spawn(m_io, acceptStatusConnections(Acceptor, Metrics),
-                 asio::detached);
+  startLoop("status", [this, Acceptor, Metrics] {
+    return acceptStatusConnections(Acceptor, Metrics);
+  });
   return boost::outcome_v2::success();
 }
 
@@ -48,8 +47,10 @@
       continue;
     }
     prepareSocket(*Socket, CallerUnresponsiveTimeout);
-    asio::co_spawn(m_io, serveStatusConnection(Socket, Metrics),
-                   asio::detached);
+    spawnTask(m_io, *m_core.m_metrics, "status_connection",
+              [this, Socket, Metrics] {
+                return serveStatusConnection(Socket, Metrics);
+              });
   }
 }
 
--- a/src/libgateway/placementleader.cpp
+++ b/src/libgateway/placementleader.cpp
@@ -3,8 +3,6 @@
 #include "libgateway/log.h"
 
 #include <algorithm>
-#include <asio/co_spawn.hpp>
-#include <asio/detached.hpp>
 #include <asio/redirect_error.hpp>
 #include <asio/use_awaitable.hpp>
 #include <fmt/format.h>
@@ -213,11 +211,27 @@
       if (Backoff != m_backoff.end() && Backoff->second > Now)
         continue;
       m_pendingOrders[M.m_engine] = PendingOrder{M, Now};
-      asio::co_spawn(m_core.m_io, executeMove(M), asio::detached);
+      start(
+          "move", [this, M] { return executeMove(M); },
+          [this, Engine = M.m_engine] { onMoveFailed(Engine); });
     }
   }
 }
 
+void PlacementLeader::start(const char *Name, TaskFactory Create,
+                            std::function<void()> OnFailure) {
+  spawnTask(m_core.m_io, *m_core.m_metrics, Name, std::move(Create),
+            std::move(OnFailure));
+}
+
+/// An exception ended a move, so what it did is not known.
+void PlacementLeader::onMoveFailed(const std::string &Engine) {
+  m_pendingOrders.erase(Engine);
+  m_backoff[Engine] = clockNow() + OrderBackoff;
+  if (EngineLedger *L = ledger(Engine))
+    L->loseControl();
+}
+
 asio::awaitable<void> PlacementLeader::sleepFor(Duration Time) {
   asio::steady_timer Timer(m_core.m_io, Time);
   std::error_code Ignored;
@@ -234,7 +248,9 @@
         !(L->unsettled() || L->disagrees(E.m_record.m_models, Now)))
       continue;
     m_nextPoll[Id] = Now + UnsettledPollInterval;
-    asio::co_spawn(m_core.m_io, refreshFromReport(Id), asio::detached);
+    start("report", [this, Id = Id]() -> asio::awaitable<void> {
+      (void)co_await refreshFromReport(Id);
+    });
   }
 }
 
@@ -412,7 +428,7 @@
     co_return Done;
   }
   if (IsLoad) {
-    asio::co_spawn(m_core.m_io, finishAdapterLoad(Move), asio::detached);
+    start("adapter_load", [this, Move] { return finishAdapterLoad(Move); });
   } else if (!Unloaded) {
     m_core.m_metrics->count("adapter_unload_waits");
     m_backoff[Move.m_engine] = clockNow() + OrderBackoff;
--- a/src/libgateway/placementleader.h
+++ b/src/libgateway/placementleader.h
@@ -9,6 +9,7 @@
 #include "libgateway/leadership.h"
 #include "libgateway/peeraudience.h"
 #include "libgateway/placement.h"
+#include "libgateway/tasks.h"
 
 #include <asio/awaitable.hpp>
 #include <functional>
@@ -62,7 +63,10 @@
     TimePoint m_since{};
   };
   PlacementInput input(const std::string &ServiceName, TimePoint Now);
+  void start(const char *Name, TaskFactory Create,
+             std::function<void()> OnFailure = nullptr);
   asio::awaitable<void> executeMove(PlacementMove Move);
+  void onMoveFailed(const std::string &Engine);
   asio::awaitable<OrderResult> send(PlacementMove Move, EngineOrder Order);
   asio::awaitable<bool> refreshFromReport(std::string Id);
   asio::awaitable<bool> awaitModel(PlacementMove Move, TimePoint Since);
