--- a/src/libgateway/callers.cpp
+++ b/src/libgateway/callers.cpp
@@ -36,10 +36,8 @@
                                    asio::ip::tcp::socket Socket)
     : m_core(Shared), m_listener(Listener), m_socket(std::move(Socket)),
       m_readTimer(Shared.m_io),
-      m_reader(HttpRole::Request,
-               Shared.m_configuration
-                   ? Shared.m_configuration->m_limits.m_headerBytes
-                   : DefaultMaxHeadBytes) {}
+      m_reader(HttpRole::Request, DefaultMaxHeadBytes),
+      m_peer(peerAddress(m_socket)) {}
 
 asio::awaitable<bool> CallerConnection::reject(unsigned Status,
                                                std::string ExtraHeaders) {
@@ -56,16 +54,44 @@
   co_return false;
 }
 
+/// Frees what was read of a request that is not served.
+void CallerConnection::dropRequest() {
+  m_reader.reset();
+  freeText(m_body);
+  freeText(m_input);
+  m_memory.reset();
+}
+
+/// Rejects a request that was not read completely, since memory is short at
+/// this VM. Another one may have enough.
+asio::awaitable<bool> CallerConnection::rejectForMemory() {
+  m_core.m_metrics->count("caller_refused_for_memory");
+  dropRequest();
+  Rejection R;
+  R.m_localCause = true;
+  R.m_random = std::uniform_real_distribution<double>(0, 1)(m_core.m_random);
+  co_return co_await reject(StatusUnavailable,
+                            fmt::format("X-Primrose-Outcome: not-run\r\n"
+                                        "Retry-After: {:.2f}\r\n",
+                                        toSeconds(retryAfter(R))));
+}
+
+/// Limits of the configuration in force.
+CallerLimits CallerConnection::limits() const {
+  if (m_core.m_configuration)
+    return m_core.m_configuration->m_limits;
+  CallerLimits Limits;
+  Limits.m_headerBytes = DefaultMaxHeadBytes;
+  return Limits;
+}
+
 /// Limits the wait for the next request. Callers reuse a connection for as long
 /// as the newest configuration allows, so an older limit is extended to it.
 void CallerConnection::limitIdleTime() {
   const auto Latest = [this] {
     if (m_core.m_closing)
       return m_idleSince;
-    const CallerLimits Limits = m_core.m_configuration
-                                    ? m_core.m_configuration->m_limits
-                                    : CallerLimits();
-    return m_idleSince + Limits.m_idleTimeout;
+    return m_idleSince + limits().m_idleTimeout;
   };
   m_readTimer.arm(
       Latest(),
@@ -176,9 +202,13 @@
   m_reader.reset();
   m_body.clear();
   m_expectationAnswered = false;
-  const CallerLimits Limits = m_core.m_configuration
-                                  ? m_core.m_configuration->m_limits
-                                  : CallerLimits();
+  m_memory = m_core.m_memory.claim(MemoryKind::Request, m_peer);
+  m_memory->setRevocation([this] {
+    freeText(m_body);
+    std::error_code Ignored;
+    m_socket.cancel(Ignored);
+  });
+  CallerLimits Limits = limits();
   bool Started = !m_input.empty();
   m_idleSince = clockNow();
   m_firstByteAt = m_idleSince;
@@ -187,7 +217,9 @@
   else
     limitIdleTime();
   for (;;) {
-    if (const std::optional<unsigned> Status = parse(Limits)) {
+    m_reader.setMaxHeadBytes(Limits.m_headerBytes);
+    const std::optional<unsigned> Status = parse(Limits);
+    if (Status || m_memory->revoked()) {
       m_readTimer.disarm();
       co_return co_await reject(*Status);
     }
@@ -212,6 +244,8 @@
   }
 }
 
+      // The connection may have been idle while the configuration changed.
+      Limits = limits();
 void CallerConnection::startMonitoring() {
   m_monitoring = true;
   waitReadable();
--- a/src/libgateway/callers.h
+++ b/src/libgateway/callers.h
@@ -56,6 +56,7 @@
   std::optional<unsigned> takeBody(const CallerLimits &Limits);
   asio::awaitable<ReadEnd> readMore();
   asio::awaitable<bool> onReadEnded(ReadEnd End);
+  CallerLimits limits() const;
   void limitIdleTime();
   void limitRequestTime(Milliseconds Timeout);
   asio::awaitable<bool> reject(unsigned Status, std::string ExtraHeaders = "");
