--- a/src/libgateway/gatewaystatus.cpp
+++ b/src/libgateway/gatewaystatus.cpp
@@ -64,8 +64,8 @@
       m_core.m_metrics->gauge("peak_resident_bytes",
                               1024.0 * static_cast<double>(Usage.ru_maxrss));
     return m_core.m_metrics->text();
-  const SuspectsReply Reply =
   }
+  const SuspectsReply Reply =
       answerSuspects(Head.m_method, Path, m_core.m_suspects, clockNow());
   Status = Reply.m_status;
   if (Reply.m_cleared) {
@@ -105,7 +105,8 @@
       Input.append(Buffer, N);
       while (!Input.empty() && !Reader.complete()) {
         const Result<std::size_t> Used = Reader.read(Input);
-        if (!Used)
+        // Requests for these pages have no body.
+        if (!Used || !Reader.takeBody().empty())
           co_return;
         Input.erase(0, Used.value());
         if (Used.value() == 0)
