--- a/testsuite/soak/faults.cpp
+++ b/testsuite/soak/faults.cpp
@@ -154,7 +154,8 @@
        "loses responses to orders"},
       {&EngineFaults::m_silenceProbability, "is silent within streams"},
       {&EngineFaults::m_pauseProbability, "asks for pauses"},
-      {&EngineFaults::m_repeatRefusalProbability, "repeats refusals"}};
+      {&EngineFaults::m_repeatRefusalProbability, "repeats refusals"},
+      {&EngineFaults::m_endlessProbability, "sends bytes without end"}};
   const unsigned Kind = draw(std::size(Kinds) + 3);
   if (Kind == std::size(Kinds)) {
     note(E.id() + " crashes");
--- a/testsuite/soak/gatewayprocess.cpp
+++ b/testsuite/soak/gatewayprocess.cpp
@@ -8,6 +8,7 @@
 #include <fmt/format.h>
 #include <fstream>
 #include <spawn.h>
+#include <sys/resource.h>
 #include <sys/wait.h>
 
 extern char **environ;
@@ -26,7 +27,7 @@
   const std::string Settings = Base + ".yaml";
   const std::string Log = logPath();
   std::ofstream(Settings) << fmt::format(
-      R"(vm: {{name: "{0}", failure-domain: "{1}", address: "{2}", descriptors: 1000}}
+      R"(vm: {{name: "{0}", failure-domain: "{1}", address: "{2}", descriptors: 1000, memory-mb: 160}}
 failure-domains: {{"d1": "r1", "d2": "r1", "d3": "r2"}}
 listen: {{callers: "{2}:{3}", ready: "{2}:{4}", metrics: "{2}:18603"}}
 peers: {{port: 18604}}
@@ -58,9 +59,16 @@
   if (posix_spawn(&m_pid, Arguments[0], &Actions, nullptr, Arguments,
                   environ) != 0)
     m_pid = -1;
+  else
+    limitMemory();
   posix_spawn_file_actions_destroy(&Actions);
 }
 
+void GatewayProcess::limitMemory() const {
+  const rlimit Limit{AddressSpaceBytes, AddressSpaceBytes};
+  (void)::prlimit(m_pid, RLIMIT_AS, &Limit, nullptr);
+}
+
 void GatewayProcess::signal(int Number) {
   if (m_pid <= 0)
     return;
--- a/testsuite/soak/gatewayprocess.h
+++ b/testsuite/soak/gatewayprocess.h
@@ -4,6 +4,7 @@
 
 #include <chrono>
 #include <string>
+#include <sys/resource.h>
 #include <sys/types.h>
 
 namespace primroseworks::soak {
@@ -24,6 +25,8 @@
 public:
   static constexpr int CallerPort = 18601;
   static constexpr int ReadyPort = 18602;
+  /// A process that needs more ends, or fails to allocate.
+  static constexpr rlim_t AddressSpaceBytes = 260'000'000;
 
   explicit GatewayProcess(GatewaySetup Setup) : m_setup(std::move(Setup)) {}
   ~GatewayProcess();
@@ -53,6 +56,7 @@
   unsigned m_interruptions = 0;
 
 private:
+  void limitMemory() const;
   std::string logPath() const {
     return m_setup.m_folder + '/' + m_setup.m_name + ".log";
   }
--- a/testsuite/soak/soak.cpp
+++ b/testsuite/soak/soak.cpp
@@ -47,6 +47,12 @@
 constexpr unsigned CrashingCopies = 2;
 constexpr unsigned CrashingRounds = 12;
 constexpr milliseconds CrashingPause{300};
+/// Requests at once that get bytes without end, and for how long endpoints send
+/// them.
+constexpr unsigned EndlessRequests = 48;
+constexpr milliseconds EndlessTime{1500};
+/// Number of the engines that are plain services; they come first.
+constexpr unsigned PlainEngines = 3;
 /// Ends under one request, one after the other.
 constexpr unsigned MaxEnds = 3;
 
@@ -238,6 +244,26 @@
   }
 }
 
+asio::awaitable<void> Soak::sendProbe(std::string Address) {
+  (void)co_await m_callers->probe(Address, "/read/1");
+}
+
+/// All endpoints of the plain service send bytes without end to many requests
+/// at once, most of them of one gateway. Its memory must suffice.
+asio::awaitable<void> Soak::checkEndlessResponses() {
+  const auto SetEndless = [this](double Probability) {
+    for (unsigned I = 0; I < PlainEngines; ++I)
+      m_engines[I]->m_faults.m_endlessProbability = Probability;
+  };
+  SetEndless(1);
+  GatewayProcess &Target =
+      *m_gateways[draw(static_cast<unsigned>(m_gateways.size()))];
+  for (unsigned I = 0; I < EndlessRequests; ++I)
+    start(sendProbe(Target.callerAddress()));
+  co_await pause(EndlessTime);
+  SetEndless(0);
+}
+
 /// Every gateway stops and starts again while callers go on.
 asio::awaitable<void> Soak::checkRollingStop() {
   for (const auto &P : m_gateways) {
@@ -263,6 +289,8 @@
   co_await checkRecovery();
   co_await checkCrashingRequest();
   co_await checkRecovery();
+  co_await checkEndlessResponses();
+  co_await checkRecovery();
   m_callers->m_calm = true;
   co_await checkConfiguration();
   co_await checkDrain();
@@ -296,6 +324,9 @@
   for (const auto &E : m_engines)
     if (E->roomViolations() > 0)
       m_check.violation(E->id() + " was ordered to load without room for it");
+  for (const auto &E : m_engines)
+    if (E->uncutResponses() > 0)
+      m_check.violation(E->id() + " could send bytes without end");
   m_check.finish();
   static const std::pair<Verdict, const char *> Names[] = {
       {Verdict::Success, "served"},   {Verdict::NotRun, "not run"},
--- a/testsuite/soak/soak.h
+++ b/testsuite/soak/soak.h
@@ -55,6 +55,8 @@
   asio::awaitable<void> checkDrain();
   asio::awaitable<void> checkRollingStop();
   asio::awaitable<void> checkCrashingRequest();
+  asio::awaitable<void> checkEndlessResponses();
+  asio::awaitable<void> sendProbe(std::string Address);
   asio::awaitable<void> sendCrashingRequest(std::string Address);
   asio::awaitable<void> pause(Milliseconds Time);
 
