--- a/src/libgateway/callers.cpp
+++ b/src/libgateway/callers.cpp
@@ -147,6 +147,23 @@
   return std::nullopt;
 }
 
+/// Takes the bytes of the body that were parsed, as far as the limits and the
+/// memory of this process allow.
+std::optional<unsigned> CallerConnection::takeBody(const CallerLimits &Limits) {
+  const std::string Part = m_reader.takeBody();
+  const std::uint64_t Length = m_reader.head().m_length.value_or(0);
+  const std::size_t Size =
+      std::max<std::size_t>(Length, m_body.size() + Part.size());
+  if (Size > Limits.m_bodyBytes)
+    return 413;
+  if (m_reader.headComplete() && !m_core.m_memory.admitsRequest(Size))
+    return StatusUnavailable;
+  const bool Granted = m_memory->append(
+      m_body, Part, m_input.capacity() + m_reader.memoryBytes(),
+      m_reader.head().m_length ? Size : Limits.m_bodyBytes);
+  return Granted ? std::nullopt : std::optional(StatusUnavailable);
+}
+
 /// Sends the interim response that a caller waits for before it sends the
 /// body. Returns false if the expectation is unknown; it is refused then.
 asio::awaitable<bool>
@@ -173,23 +190,6 @@
   if (End == ReadEnd::TimedOut && !m_core.m_closing) {
     m_core.m_metrics->count("caller_idle_closed");
     const TimePoint Now = clockNow();
-/// Takes the bytes of the body that were parsed, as far as the limits and the
-/// memory of this process allow.
-std::optional<unsigned> CallerConnection::takeBody(const CallerLimits &Limits) {
-  const std::string Part = m_reader.takeBody();
-  const std::uint64_t Length = m_reader.head().m_length.value_or(0);
-  const std::size_t Size =
-      std::max<std::size_t>(Length, m_body.size() + Part.size());
-  if (Size > Limits.m_bodyBytes)
-    return 413;
-  if (m_reader.headComplete() && !m_core.m_memory.admitsRequest(Size))
-    return StatusUnavailable;
-  const bool Granted = m_memory->append(
-      m_body, Part, m_input.capacity() + m_reader.memoryBytes(),
-      m_reader.head().m_length ? Size : Limits.m_bodyBytes);
-  return Granted ? std::nullopt : std::optional(StatusUnavailable);
-}
-
     decisionlog::line(LogClass::KnownState, "caller_idle_closed")
         .real("idle_ms", toMillis(Now - m_idleSince))
         .real("config_age_ms", toMillis(Now - m_core.m_configurationAt));
@@ -221,10 +221,14 @@
     const std::optional<unsigned> Status = parse(Limits);
     if (Status || m_memory->revoked()) {
       m_readTimer.disarm();
+      if (Status.value_or(StatusUnavailable) == StatusUnavailable)
+        co_return co_await rejectForMemory();
       co_return co_await reject(*Status);
     }
     if (m_reader.complete()) {
       m_readTimer.disarm();
+      m_memory->pin();
+      m_requestMemory = m_memory->bytes();
       co_return true;
     }
     if (m_reader.headComplete() && !m_expectationAnswered &&
@@ -232,20 +236,22 @@
       co_return false;
     const ReadEnd End =
         m_readTimer.fired() ? ReadEnd::TimedOut : co_await readMore();
+    if (m_memory->revoked())
+      continue;
     if (End != ReadEnd::Bytes) {
       m_readTimer.disarm();
       co_return co_await onReadEnded(End);
     }
     if (!Started) {
       Started = true;
+      // The connection may have been idle while the configuration changed.
+      Limits = limits();
       m_firstByteAt = clockNow();
       limitRequestTime(Limits.m_headerTimeout);
     }
   }
 }
 
-      // The connection may have been idle while the configuration changed.
-      Limits = limits();
 void CallerConnection::startMonitoring() {
   m_monitoring = true;
   waitReadable();
@@ -255,14 +261,10 @@
   m_socket.async_wait(asio::ip::tcp::socket::wait_read,
                       [Self = shared_from_this()](std::error_code Ec) {
                         Self->onReadable(Ec);
-      if (Status.value_or(StatusUnavailable) == StatusUnavailable)
-        co_return co_await rejectForMemory();
                       });
 }
 
 /// While a request is served: buffers bytes of the next request, and notifies
-      m_memory->pin();
-      m_requestMemory = m_memory->bytes();
 /// the exchange when the caller closes the connection.
 void CallerConnection::onReadable(std::error_code Ec) {
   if (!m_monitoring || Ec == asio::error::operation_aborted)
@@ -270,8 +272,6 @@
   char Buffer[ReadBufferBytes];
   const ssize_t N =
       recv(m_socket.native_handle(), Buffer, sizeof(Buffer), MSG_DONTWAIT);
-    if (m_memory->revoked())
-      continue;
   if (N > 0) {
     m_input.append(Buffer, static_cast<std::size_t>(N));
     if (m_input.size() < MaxPipelinedBytes &&
@@ -341,6 +341,19 @@
     if (!KeepAlive || CallerGone)
       break;
   }
+}
+
+asio::awaitable<void> CallerConnection::run() {
+  const std::shared_ptr<CallerConnection> Self = shared_from_this();
+  try {
+    co_await serveRequests();
+  } catch (const std::exception &) {
+    reportException(*m_core.m_metrics, "caller_connection",
+                    std::current_exception());
+  }
+  stopMonitoring();
+  m_exchange = nullptr;
+  dropRequest();
   if (m_lingers)
     co_await linger();
   m_readTimer.disarm();
@@ -375,19 +388,6 @@
       m_core.m_settings.m_descriptors > 2 * ReservedDescriptors
           ? m_core.m_settings.m_descriptors - ReservedDescriptors
           : m_core.m_settings.m_descriptors / 2;
-}
-
-asio::awaitable<void> CallerConnection::run() {
-  const std::shared_ptr<CallerConnection> Self = shared_from_this();
-  try {
-    co_await serveRequests();
-  } catch (const std::exception &) {
-    reportException(*m_core.m_metrics, "caller_connection",
-                    std::current_exception());
-  }
-  stopMonitoring();
-  m_exchange = nullptr;
-  dropRequest();
   while (m_acceptor.is_open()) {
     std::error_code Ec;
     asio::ip::tcp::socket Socket = co_await m_acceptor.async_accept(
--- a/src/libgateway/callers.h
+++ b/src/libgateway/callers.h
@@ -52,8 +52,8 @@
   asio::awaitable<void> serveRequests();
   asio::awaitable<bool> readRequest();
   std::optional<unsigned> parse(const CallerLimits &Limits);
-  asio::awaitable<bool> answerExpectation(Milliseconds BodyTimeout);
   std::optional<unsigned> takeBody(const CallerLimits &Limits);
+  asio::awaitable<bool> answerExpectation(Milliseconds BodyTimeout);
   asio::awaitable<ReadEnd> readMore();
   asio::awaitable<bool> onReadEnded(ReadEnd End);
   CallerLimits limits() const;
@@ -75,12 +75,12 @@
   std::string m_input;  ///< Received but not yet parsed.
   HttpReader m_reader;
   std::string m_body;
-  bool m_expectationAnswered = false; ///< Of the request that is being read.
-  TimePoint m_idleSince{};            ///< When the wait for a request began.
   const std::string m_peer; ///< Address of the caller.
   /// Of the request that is read or served, and of bytes that follow it.
   MemoryClaimPtr m_memory;
   std::size_t m_requestMemory = 0;    ///< Part of m_memory without those bytes.
+  bool m_expectationAnswered = false; ///< Of the request that is being read.
+  TimePoint m_idleSince{};            ///< When the wait for a request began.
   TimePoint m_firstByteAt{};
   std::shared_ptr<Exchange> m_exchange; ///< The current request; null if none.
   bool m_monitoring = false;
--- a/src/libgateway/exchange.cpp
+++ b/src/libgateway/exchange.cpp
@@ -6,8 +6,8 @@
 #include "primroseworks/hash.h"
 
 #include <algorithm>
-#include <asio/redirect_error.hpp>
 #include <array>
+#include <asio/redirect_error.hpp>
 #include <asio/use_awaitable.hpp>
 #include <asio/write.hpp>
 #include <fmt/format.h>
--- a/src/libgateway/exchange.h
+++ b/src/libgateway/exchange.h
@@ -70,23 +70,23 @@
   void endSilentAttempt(TimePoint Now);
   void onSilentAttemptTimeout(TimePoint Now);
   asio::awaitable<Result<void>> readMore(ConnectionPtr C);
-  bool answersRequest(const ResponseMetadata &Metadata,
-                      const Connection &C) const;
   bool claimMemory(const Connection &C);
   AttemptOutcome cutOutcome(const Connection &C) const;
   AttemptOutcome outcomeOf(const Error &E, const Connection &C) const;
+  bool answersRequest(const ResponseMetadata &Metadata,
+                      const Connection &C) const;
   asio::awaitable<Result<void>> readHead(ConnectionPtr C);
   void releaseConnection(const ResponseMetadata &Metadata);
+  void holdForCaller();
   asio::awaitable<AttemptOutcome> readResponse(ConnectionPtr C);
   asio::awaitable<AttemptOutcome> relayEvents(ConnectionPtr C);
-  void holdForCaller();
   asio::awaitable<bool> write(std::string Head, std::string_view Body = {});
   asio::awaitable<bool> sendLocalResponse(unsigned Status, std::string Reason,
                                           Duration RetryAfter);
   asio::awaitable<bool> forwardResponse(const HttpHead &Head, std::string Body);
+  asio::awaitable<bool> forwardFailure();
   asio::awaitable<bool> rejectNotRun(std::string Reason);
   asio::awaitable<bool> fail(std::string Reason);
-  asio::awaitable<bool> forwardFailure();
 
   void initFromRequest(TimePoint Now);
   std::string takeEvents(bool &Invalid);
--- a/src/libgateway/gateway.cpp
+++ b/src/libgateway/gateway.cpp
@@ -71,9 +71,9 @@
       m_placement(Io, AdapterRequestBatchDelay, [this] { place(clockNow()); }),
       m_announcement(Io, AnnounceDelay, [this] {
         m_peers.announceHoldings(fencingToken(), clockNow());
-  m_storePool.limitMemory(m_core.m_memory);
       }) {
   m_core.m_schedulerClient = &m_schedulerClient;
+  m_storePool.limitMemory(m_core.m_memory);
   m_peers.setOnMessage(
       [this](const SchedulingMessage &Message) { onMessage(Message); });
   m_core.m_onAdapterWanted = [this] { m_placement.request(); };
@@ -289,6 +289,11 @@
       m_fleetLoadsSentAt = Now;
       m_peers.sendFleetLoads(Now);
     }
+    if (isLeader())
+      m_placement.request();
+  }
+}
+
 void Gateway::exportMemory() {
   for (const auto &[Kind, Name] : MemoryKindNames)
     m_core.m_metrics->gauge("memory_held_bytes_" + std::string(Name),
@@ -297,11 +302,6 @@
                           static_cast<double>(m_core.m_memory.limit()));
 }
 
-    if (isLeader())
-      m_placement.request();
-  }
-}
-
 asio::awaitable<void> Gateway::runMaintenance() {
   unsigned Count = 0;
   for (;;) {
@@ -315,12 +315,12 @@
     m_core.m_endpoints.expire(Now);
     m_core.m_brokenAttempts.expire(Now);
     if (!m_storeUnavailable && Now >= m_lapsedRecordsUntil &&
-    exportMemory();
         Now - m_core.m_copyConfirmedAt <= changeLimit())
       m_core.dropRefutedStrikes(Now);
     m_scheduler.expire(reportLifetime(m_core.m_gatewayCount), Now);
     m_core.m_pool.expire(Now);
     m_storePool.expire(Now);
+    exportMemory();
     m_core.m_metrics->gauge("waiting",
                             static_cast<double>(m_core.m_queue.size()));
     m_core.m_metrics->gauge("remote_requests",
--- a/src/libgateway/gateway.h
+++ b/src/libgateway/gateway.h
@@ -74,8 +74,8 @@
   asio::awaitable<Result<std::uint64_t>> listStore();
   asio::awaitable<void> maintainLease();
   asio::awaitable<void> claimLeadership();
-  asio::awaitable<void> runMaintenance();
   void exportMemory();
+  asio::awaitable<void> runMaintenance();
   asio::awaitable<void> sendReports();
   asio::awaitable<void>
   acceptStatusConnections(std::shared_ptr<asio::ip::tcp::acceptor> Acceptor,
--- a/src/libgateway/placementleader.h
+++ b/src/libgateway/placementleader.h
@@ -21,10 +21,10 @@
 
 /// Timeout of an order or of the request for an engine's report.
 inline constexpr Milliseconds OrderTimeout{700};
-/// Interval between polls of an engine that loads or unloads a model: a share
 /// Largest responses of engines to orders and to requests for reports.
 inline constexpr std::size_t MaxOrderResponseBytes = 65'536;
 inline constexpr std::size_t MaxReportBytes = 1'048'576;
+/// Interval between polls of an engine that loads or unloads a model: a share
 /// of the time elapsed, and its minimum.
 inline constexpr double PollIntervalShare = 0.2;
 inline constexpr Milliseconds MinPollInterval{300};
