--- a/src/libgateway/exchangeattempt.cpp
+++ b/src/libgateway/exchangeattempt.cpp
@@ -12,6 +12,25 @@
 
 constexpr unsigned StatusMisdirected = 421;
 
+/// A body without a stated length counts as arriving if it grows by this much
+/// between two looks; a trickle may go on for ever.
+constexpr std::size_t MinArrivingBytes = 256;
+
+/// Whether a body that grew by New bytes since the last look is worth waiting
+/// for. One of stated length is if at its mean rate it takes no more than twice
+/// the time that is left.
+bool isArriving(const Attempt &A, std::size_t New, TimePoint Deadline,
+                TimePoint Now) {
+  const std::optional<std::uint64_t> Length =
+      A.m_connection->m_reader.head().m_length;
+  if (New == 0 || !Length)
+    return New >= MinArrivingBytes;
+  const auto Size = static_cast<double>(A.m_body.size());
+  const double Rest = static_cast<double>(*Length) - Size;
+  return toSeconds(Now - A.m_sentAt) * Rest / Size <=
+         2 * toSeconds(Deadline - Now);
+}
+
 } // namespace
 
 /// Whether another endpoint takes the request at once; one that a coordinator
@@ -35,7 +54,8 @@
   return [this](TimePoint Now) {
     const TimePoint Latest = m_deadline + DeadlineGrace;
     const std::size_t BodyBytes = m_attempt.m_body.size();
-    const bool Arriving = BodyBytes > m_attempt.m_checkedBodyBytes;
+    const bool Arriving = isArriving(
+        m_attempt, BodyBytes - m_attempt.m_checkedBodyBytes, m_deadline, Now);
     m_attempt.m_checkedBodyBytes = BodyBytes;
     if (Now >= Latest || (!Arriving && canFailOver(Now)))
       return Now;
@@ -156,7 +176,9 @@
 /// Outcome of an attempt whose response was cut for memory. One that states a
 /// rightful length is not at fault.
 AttemptOutcome Exchange::cutOutcome(const Connection &C) const {
-  const bool Bounded = C.m_reader.headComplete() && C.m_reader.head().m_length;
+  const bool Bounded = C.m_reader.headComplete() &&
+                       C.m_reader.head().m_length &&
+                       *C.m_reader.head().m_length <= MaxResponseBodyBytes;
   return Bounded ? AttemptOutcome::MemoryShort : AttemptOutcome::Overrun;
 }
 
