--- a/src/libgateway/gateway.cpp
+++ b/src/libgateway/gateway.cpp
@@ -106,6 +106,17 @@
   return boost::outcome_v2::success();
 }
 
+void Gateway::run() {
+  for (;;) {
+    try {
+      m_io.run();
+      return;
+    } catch (const std::exception &) {
+      reportException(*m_core.m_metrics, "handler", std::current_exception());
+    }
+  }
+}
+
 void Gateway::startLoop(const char *Name, TaskFactory Create) {
   spawnLoop(m_io, *m_core.m_metrics, Name, std::move(Create));
 }
--- a/src/libgateway/gateway.h
+++ b/src/libgateway/gateway.h
@@ -68,6 +68,9 @@
   /// Opens the listeners and starts all coroutines, which run on the
   /// io_context.
   Result<void> start();
+  /// Runs the event loop until the process stops. An exception of a handler is
+  /// logged and counted, and ends nothing else.
+  void run();
 
 private:
   asio::awaitable<void> watchStore();
--- a/src/primrose-gateway/main.cpp
+++ b/src/primrose-gateway/main.cpp
@@ -52,7 +52,7 @@
     std::cerr << Started.error().m_message << "\n";
     return ExitFailure;
   }
-  Io.run();
+  Process.run();
   // Suspended coroutines still hold references into Process, so the process
   // exits without running destructors.
   std::cout.flush();
