--- a/src/libgateway/callers.cpp
+++ b/src/libgateway/callers.cpp
@@ -54,9 +54,9 @@
   co_return false;
 }
 
-/// Frees what was read of a request that is not served.
+/// Frees the body of a request that is not served. Its head stays: the
+/// connection is busy until its caller has the refusal.
 void CallerConnection::dropRequest() {
-  m_reader.reset();
   freeText(m_body);
   freeText(m_input);
   m_memory.reset();
