--- a/src/libgateway/exchangeattempt.cpp
+++ b/src/libgateway/exchangeattempt.cpp
@@ -54,9 +54,11 @@
   return [this](TimePoint Now) {
     const TimePoint Latest = m_deadline + DeadlineGrace;
     const std::size_t BodyBytes = m_attempt.m_body.size();
-    const bool Arriving = isArriving(
-        m_attempt, BodyBytes - m_attempt.m_checkedBodyBytes, m_deadline, Now);
-    m_attempt.m_checkedBodyBytes = BodyBytes;
+    const std::size_t Before =
+        std::exchange(m_attempt.m_checkedBodyBytes, BodyBytes);
+    // A revoked claim has freed the body.
+    const std::size_t New = BodyBytes - std::min(Before, BodyBytes);
+    const bool Arriving = isArriving(m_attempt, New, m_deadline, Now);
     if (Now >= Latest || (!Arriving && canFailOver(Now)))
       return Now;
     return std::min<TimePoint>(Latest, Now + FailoverCheckInterval);
