--- a/src/libgateway/callers.cpp
+++ b/src/libgateway/callers.cpp
@@ -26,8 +26,7 @@
 std::string peerAddress(const asio::ip::tcp::socket &Socket) {
   std::error_code Ec;
   const asio::ip::tcp::endpoint Peer = Socket.remote_endpoint(Ec);
-  return Ec ? std::string()
-            : Peer.address().to_string() + ':' + std::to_string(Peer.port());
+  return Ec ? std::string() : Peer.address().to_string();
 }
 
 } // namespace
@@ -345,17 +344,24 @@
 
 asio::awaitable<void> CallerConnection::run() {
   const std::shared_ptr<CallerConnection> Self = shared_from_this();
+  const auto Report = [this] {
+    reportException(*m_core.m_metrics, "caller_connection",
+                    std::current_exception());
+  };
   try {
     co_await serveRequests();
   } catch (const std::exception &) {
-    reportException(*m_core.m_metrics, "caller_connection",
-                    std::current_exception());
+    Report();
   }
   stopMonitoring();
   m_exchange = nullptr;
   dropRequest();
-  if (m_lingers)
-    co_await linger();
+  try {
+    if (m_lingers)
+      co_await linger();
+  } catch (const std::exception &) {
+    Report();
+  }
   m_readTimer.disarm();
   std::error_code Ignored;
   m_socket.shutdown(asio::ip::tcp::socket::shutdown_send, Ignored);
@@ -410,8 +416,13 @@
     auto C =
         std::make_shared<CallerConnection>(m_core, *this, std::move(Socket));
     m_connections.insert(C.get());
-    spawnTask(m_core.m_io, *m_core.m_metrics, "caller_connection",
-              [C] { return C->run(); });
+    try {
+      spawnTask(m_core.m_io, *m_core.m_metrics, "caller_connection",
+                [C] { return C->run(); });
+    } catch (...) {
+      m_connections.erase(C.get());
+      throw;
+    }
   }
 }
 
--- a/src/libgateway/connections.cpp
+++ b/src/libgateway/connections.cpp
@@ -313,11 +313,16 @@
     if (Ec || State->m_generation != Generation)
       return;
     const TimePoint Now = std::chrono::steady_clock::now();
-    const TimePoint Next = Extend ? Extend(Now) : Now;
-    if (Next > Now)
-      arm(Next, std::move(State->m_onExpired), Extend);
-    else
-      expire(*State);
+    try {
+      const TimePoint Next = Extend ? Extend(Now) : Now;
+      if (Next > Now) {
+        arm(Next, Action(State->m_onExpired), Extend);
+        return;
+      }
+    } catch (const std::exception &) {
+      // A wait that cannot be extended ends: without a timer it might not.
+    }
+    expire(*State);
   });
 }
 
--- a/src/libgateway/core.cpp
+++ b/src/libgateway/core.cpp
@@ -87,9 +87,14 @@
     return Out;
   }
   Out.m_rejected = false;
-  m_waiters[Out.m_ticket] = &W;
-  if (m_queue.size() > 1)
-    dispatchWaiting(Now);
+  try {
+    m_waiters[Out.m_ticket] = &W;
+    if (m_queue.size() > 1)
+      dispatchWaiting(Now);
+  } catch (...) { // W does not know its ticket yet.
+    cancel(Out.m_ticket);
+    throw;
+  }
   if (!m_waiters.count(Out.m_ticket)) {
     Out.m_ticket = 0;
     Out.m_obstacle = ChoiceObstacle::None;
--- a/src/libgateway/endpointprobe.cpp
+++ b/src/libgateway/endpointprobe.cpp
@@ -19,13 +19,19 @@
   }
   const auto P = std::make_shared<Pending>(m_io);
   m_pending[Key] = P;
-  // Also if an exception ends this coroutine: others wait for it.
-  const std::shared_ptr<void> AtEnd(nullptr, [this, Key, P](void *) {
+  // Others wait for it.
+  const auto Finish = [this, &Key, &P] {
     m_pending.erase(Key);
     P->m_done.cancel();
-  });
-  P->m_outcome =
-      co_await m_pool.probe(Key, Address, EndpointProbeTimeout, SilenceTimeout);
+  };
+  try {
+    P->m_outcome = co_await m_pool.probe(Key, Address, EndpointProbeTimeout,
+                                         SilenceTimeout);
+  } catch (...) {
+    Finish();
+    throw;
+  }
+  Finish();
   co_return P->m_outcome;
 }
 
--- a/src/libgateway/exchange.cpp
+++ b/src/libgateway/exchange.cpp
@@ -139,12 +139,15 @@
 /// Gives back what a request holds whose service an exception ended, and tells
 /// its caller what is known.
 asio::awaitable<bool> Exchange::endAfterException() {
-  withdrawWait();
+  // First what holds places of endpoints: each of these steps may fail, too.
+  const TimePoint Now = clockNow();
   m_attemptTimer.disarm();
   if (m_attempt.m_connection)
     m_attempt.m_connection->close();
   if (m_attempt.m_counted)
-    releaseEndpoint(m_attempt, clockNow());
+    releaseEndpoint(m_attempt, Now);
+  endSilentAttempt(Now);
+  withdrawWait();
   m_mayHaveRun = m_mayHaveRun || attemptsThatMayHaveRun() > 0;
   co_return !m_callerGone && co_await fail("internal_error");
 }
@@ -332,8 +335,13 @@
   m_waitTimer.expires_at(Until);
   std::error_code Ignored;
   const auto Wait = m_core.m_waits.emplace(m_fingerprint, &m_waitTimer);
-  co_await m_waitTimer.async_wait(
-      asio::redirect_error(asio::use_awaitable, Ignored));
+  try {
+    co_await m_waitTimer.async_wait(
+        asio::redirect_error(asio::use_awaitable, Ignored));
+  } catch (...) {
+    m_core.m_waits.erase(Wait);
+    throw;
+  }
   m_core.m_waits.erase(Wait);
   m_waited += clockNow() - Start;
 }
--- a/src/libgateway/exchangeattempt.cpp
+++ b/src/libgateway/exchangeattempt.cpp
@@ -15,20 +15,27 @@
 /// A body without a stated length counts as arriving if it grows by this much
 /// between two looks; a trickle may go on for ever.
 constexpr std::size_t MinArrivingBytes = 256;
+/// A response without a stated length that is cut for memory shows a fault of
+/// its endpoint from this size on.
+constexpr std::size_t MinOverrunBytes = 1'048'576;
 
-/// Whether a body that grew by New bytes since the last look is worth waiting
-/// for. One of stated length is if at its mean rate it takes no more than twice
+/// Whether a body that had Before bytes at the last look is worth waiting for.
+/// One of stated length is if at its present rate it takes no more than twice
 /// the time that is left.
-bool isArriving(const Attempt &A, std::size_t New, TimePoint Deadline,
-                TimePoint Now) {
+bool isArriving(const Attempt &A, std::size_t Before, Duration TimeLeft) {
+  const std::size_t Size = A.m_body.size();
+  if (Size <= Before)
+    return false; // Also if a revoked claim has freed the body.
+  if (Before == 0)
+    return true;
+  const std::size_t New = Size - Before;
   const std::optional<std::uint64_t> Length =
       A.m_connection->m_reader.head().m_length;
-  if (New == 0 || !Length)
+  if (!Length)
     return New >= MinArrivingBytes;
-  const auto Size = static_cast<double>(A.m_body.size());
-  const double Rest = static_cast<double>(*Length) - Size;
-  return toSeconds(Now - A.m_sentAt) * Rest / Size <=
-         2 * toSeconds(Deadline - Now);
+  const double Looks =
+      static_cast<double>(*Length - Size) / static_cast<double>(New);
+  return toSeconds(FailoverCheckInterval) * Looks <= 2 * toSeconds(TimeLeft);
 }
 
 } // namespace
@@ -53,12 +60,9 @@
 Watchdog::Extension Exchange::extendUnlessFailover() {
   return [this](TimePoint Now) {
     const TimePoint Latest = m_deadline + DeadlineGrace;
-    const std::size_t BodyBytes = m_attempt.m_body.size();
     const std::size_t Before =
-        std::exchange(m_attempt.m_checkedBodyBytes, BodyBytes);
-    // A revoked claim has freed the body.
-    const std::size_t New = BodyBytes - std::min(Before, BodyBytes);
-    const bool Arriving = isArriving(m_attempt, New, m_deadline, Now);
+        std::exchange(m_attempt.m_checkedBodyBytes, m_attempt.m_body.size());
+    const bool Arriving = isArriving(m_attempt, Before, m_deadline - Now);
     if (Now >= Latest || (!Arriving && canFailOver(Now)))
       return Now;
     return std::min<TimePoint>(Latest, Now + FailoverCheckInterval);
@@ -161,7 +165,7 @@
                         "no response in time; use another endpoint");
   BOOST_OUTCOME_CO_TRYV(co_await C->readSome());
   if (!claimMemory(*C))
-    co_return makeError(ErrorKind::Full,
+    co_return makeError(ErrorKind::Unavailable,
                         "the memory of this process is short; use another "
                         "endpoint");
   co_return boost::outcome_v2::success();
@@ -175,22 +179,25 @@
                                     C.memoryBytes());
 }
 
-/// Outcome of an attempt whose response was cut for memory. One that states a
-/// rightful length is not at fault.
+/// Outcome of an attempt whose response was cut for memory. The endpoint is at
+/// fault if much has arrived and the response states no rightful length.
 AttemptOutcome Exchange::cutOutcome(const Connection &C) const {
   const bool Bounded = C.m_reader.headComplete() &&
                        C.m_reader.head().m_length &&
                        *C.m_reader.head().m_length <= MaxResponseBodyBytes;
-  return Bounded ? AttemptOutcome::MemoryShort : AttemptOutcome::Overrun;
+  return Bounded || m_attempt.m_memory->bytes() < MinOverrunBytes
+             ? AttemptOutcome::MemoryShort
+             : AttemptOutcome::Overrun;
 }
 
 /// Outcome of an attempt whose response could not be read.
 AttemptOutcome Exchange::outcomeOf(const Error &E, const Connection &C) const {
-  if (m_attempt.m_memory->revoked())
+  if (m_attempt.m_memory->revoked() || E.m_kind == ErrorKind::Unavailable)
     return cutOutcome(C);
   if (m_attemptTimer.fired())
     return AttemptOutcome::Silent;
-  return E.m_kind == ErrorKind::Full ? cutOutcome(C) : AttemptOutcome::Broken;
+  return E.m_kind == ErrorKind::Full ? AttemptOutcome::Overrun
+                                     : AttemptOutcome::Broken;
 }
 
 /// Limits the wait for the next part of the response.
@@ -263,7 +270,7 @@
   m_attempt.m_memory->setRevocation([this, C] {
     C->close();
     const bool Current = m_attempt.m_connection == C;
-    if (!Current && !m_silentAttempt)
+    if (!Current && !(m_silentAttempt && m_silentAttempt->m_connection == C))
       return;
     Attempt &A = Current ? m_attempt : *m_silentAttempt;
     freeText(A.m_body);
@@ -395,6 +402,9 @@
 /// the next one. The attempt has no time limit any more.
 void Exchange::releaseConnection(const ResponseMetadata &Metadata) {
   m_attemptTimer.disarm();
+  // From now on the connection may serve another request.
+  if (m_attempt.m_memory)
+    m_attempt.m_memory->setRevocation(nullptr);
   const ConnectionPtr C = std::move(m_attempt.m_connection);
   m_attempt.m_connection = nullptr;
   if (Metadata.m_requestId.empty())
@@ -403,8 +413,7 @@
     m_core.m_pool.release(C, clockNow());
 }
 
-/// What has arrived is complete. Its connection may serve another request, so
-/// that a revocation ends the wait for the caller instead.
+/// What has arrived is complete: a revocation ends the wait for the caller.
 void Exchange::holdForCaller() {
   if (!m_attempt.m_memory)
     return;
@@ -436,10 +445,10 @@
       co_return outcomeOf(Step.error(), *C);
   }
   const HttpHead Head = C->m_reader.head();
-  holdForCaller();
   m_attempt.m_status = Head.m_status;
   const ResponseMetadata Metadata = m_core.m_dialect.responseMetadata(Head);
   releaseConnection(Metadata);
+  holdForCaller();
   if (Metadata.m_notExecuted || Head.m_status == StatusMisdirected) {
     if (Head.m_status == StatusMisdirected && !Metadata.m_endpoint.empty() &&
         Metadata.m_endpoint != m_attempt.m_choice.m_endpoint)
--- a/src/libgateway/memorybudget.cpp
+++ b/src/libgateway/memorybudget.cpp
@@ -9,6 +9,14 @@
 
 namespace primroseworks::gateway {
 
+namespace {
+
+/// Small claims are granted up to this share of the limit while nothing can be
+/// revoked for them.
+constexpr double MaxOverdraft = 1.25;
+
+} // namespace
+
 MemoryClaim::MemoryClaim(MemoryBudget &Budget, MemoryKind Kind,
                          std::string Peer)
     : m_budget(&Budget), m_kind(Kind), m_peer(std::move(Peer)) {
@@ -39,7 +47,13 @@
     Capacity = std::max(Needed, std::min(2 * Capacity, Most));
   if (!resize(Capacity + Other))
     return false;
-  Text.reserve(Capacity);
+  if (Capacity > Text.capacity()) {
+    // reserve() of a text that has memory may take twice that.
+    std::string Grown;
+    Grown.reserve(Capacity);
+    Grown.append(Text);
+    Text.swap(Grown);
+  }
   Text.append(Part);
   return true;
 }
@@ -94,6 +108,10 @@
     MemoryClaim *Largest = largestOfLargestPeer(false);
     if (!Largest)
       Largest = largestOfLargestPeer(true);
+    if (!Largest && Bytes <= SmallClaimBytes &&
+        static_cast<double>(counted()) <=
+            MaxOverdraft * static_cast<double>(m_limit))
+      return true;
     if (!Largest || Largest == &Claim) {
       set(Claim, Before);
       notifyCut(Claim);
--- a/src/libgateway/schedulerclient.cpp
+++ b/src/libgateway/schedulerclient.cpp
@@ -66,7 +66,12 @@
   if (!askNext(Ticket, P, Now))
     return 0;
   m_pending[Ticket] = std::move(P);
-  scheduleCheck();
+  try {
+    scheduleCheck();
+  } catch (...) { // W does not know its ticket yet.
+    m_pending.erase(Ticket);
+    throw;
+  }
   return Ticket;
 }
 
--- a/src/libgateway/tasks.cpp
+++ b/src/libgateway/tasks.cpp
@@ -15,19 +15,29 @@
 
 namespace primroseworks::gateway {
 
-void reportException(Metrics &Counts, const char *Task,
-                     const std::exception_ptr &E) {
-  std::string What = "not a std::exception";
+namespace {
+
+std::string describe(const std::exception_ptr &E) {
   try {
     std::rethrow_exception(E);
   } catch (const std::exception &Thrown) {
-    What = Thrown.what();
-  } catch (...) { // Described by the initial text.
+    return Thrown.what();
+  } catch (...) {
+    return "not a std::exception";
+  }
+}
+
+} // namespace
+
+void reportException(Metrics &Counts, const char *Task,
+                     const std::exception_ptr &E) {
+  try {
+    Counts.count("task_failed");
+    decisionlog::line(LogClass::Failure, "task_failed")
+        .text("task", Task)
+        .text("error", describe(E));
+  } catch (...) { // What follows must be done, whether this is told or not.
   }
-  Counts.count("task_failed");
-  decisionlog::line(LogClass::Failure, "task_failed")
-      .text("task", Task)
-      .text("error", What);
 }
 
 void spawnTask(asio::io_context &Io, Metrics &Counts, const char *Name,
@@ -45,15 +55,15 @@
 
 void spawnLoop(asio::io_context &Io, Metrics &Counts, const char *Name,
                TaskFactory Create) {
-  const auto Restart = [&Io, &Counts, Name, Create] {
-    const auto Timer =
-        std::make_shared<asio::steady_timer>(Io, LoopRestartPause);
+  const auto Timer = std::make_shared<asio::steady_timer>(Io);
+  const auto Restart = [&Io, &Counts, Name, Create, Timer] {
+    Timer->expires_after(LoopRestartPause);
     Timer->async_wait([&Io, &Counts, Name, Create, Timer](std::error_code Ec) {
       if (!Ec)
         spawnLoop(Io, Counts, Name, Create);
     });
   };
-  spawnTask(Io, Counts, Name, Create, Restart);
+  spawnTask(Io, Counts, Name, std::move(Create), Restart);
 }
 
 } // namespace primroseworks::gateway
