--- a/src/libgateway/memorybudget.cpp
+++ b/src/libgateway/memorybudget.cpp
@@ -101,24 +101,24 @@
 }
 
 bool MemoryBudget::grow(MemoryClaim &Claim, std::size_t Bytes) {
-  const std::size_t Before = Claim.m_bytes;
-  // The wish counts when the largest holder is looked for.
-  set(Claim, Bytes);
-  while (counted() > m_limit) {
+  // A holder competes with what it has, not with what it asks for: one that
+  // makes progress goes on beside larger ones that do not.
+  const std::size_t More = Bytes - Claim.m_bytes;
+  const auto Overdraft =
+      static_cast<std::size_t>(MaxOverdraft * static_cast<double>(m_limit));
+  while (counted() + More > m_limit) {
     MemoryClaim *Largest = largestOfLargestPeer(false);
     if (!Largest)
       Largest = largestOfLargestPeer(true);
-    if (!Largest && Bytes <= SmallClaimBytes &&
-        static_cast<double>(counted()) <=
-            MaxOverdraft * static_cast<double>(m_limit))
-      return true;
+    if (!Largest && Bytes <= SmallClaimBytes && counted() + More <= Overdraft)
+      break;
     if (!Largest || Largest == &Claim) {
-      set(Claim, Before);
       notifyCut(Claim);
       return false;
     }
     revoke(*Largest);
   }
+  set(Claim, Bytes);
   return true;
 }
 
--- a/src/libgateway/memorybudget_test.cpp
+++ b/src/libgateway/memorybudget_test.cpp
@@ -66,6 +66,19 @@
   EXPECT_EQ(Small.m_revocations + Large.m_revocations, 0);
 }
 
+// Guards against a request that makes progress and is refused for others that
+// stopped with as many bytes.
+TEST(MemoryBudget, HolderThatGrowsUpToTheOthersGoesOn) {
+  MemoryBudget Budget(12 * MB);
+  Holder A(Budget, MemoryKind::Request, "callers", 4 * MB);
+  Holder B(Budget, MemoryKind::Request, "callers", 4 * MB);
+  Holder Growing(Budget, MemoryKind::Request, "callers", 2 * MB);
+  EXPECT_TRUE(Growing.m_claim->resize(4 * MB));
+  Holder C(Budget, MemoryKind::Request, "callers", 2 * MB);
+  EXPECT_TRUE(C.m_claim->resize(4 * MB));
+  EXPECT_EQ(A.m_revocations + B.m_revocations + Growing.m_revocations, 1);
+}
+
 // Guards against requests that are dropped although endpoints may run them.
 TEST(MemoryBudget, PinnedAndSmallClaimsAreNotRevoked) {
   MemoryBudget Budget(4 * MB);
