tests: two runs of the tests at once do not share files

Cause: commands_test, requestlog_test and history_test used fixed names in the temporary folder. Two runs of primrosectl_test at once, six times: 10 cases failed. Change: the names have the process's id. After: five times two at once, all 10 passed.

--- a/src/libhistory/history_test.cpp
+++ b/src/libhistory/history_test.cpp
@@ -4,6 +4,7 @@
 
 #include <gtest/gtest.h>
 #include <rapidcheck/gtest.h>
+#include <unistd.h>
 
 #include <cstdio>
 #include <fstream>
@@ -182,7 +183,8 @@
 
 // Guards against events that change or get lost on their way through the file.
 TEST(History, FileRoundTripsFromSeveralThreads) {
-  const std::string Path = testing::TempDir() + "history_test.jsonl";
+  const std::string Path =
+      testing::TempDir() + "history_test" + std::to_string(getpid()) + ".jsonl";
   auto Recorder = createHistoryRecorder(Path).value();
   std::vector<std::thread> Threads;
   Threads.reserve(4);
--- a/src/primrosectl/commands_test.cpp
+++ b/src/primrosectl/commands_test.cpp
@@ -8,6 +8,7 @@
 #include <gtest/gtest.h>
 #include <nlohmann/json.hpp>
 #include <sstream>
+#include <unistd.h>
 
 using namespace primroseworks;
 using namespace primroseworks::ctl;
@@ -25,7 +26,7 @@
         });
     ASSERT_TRUE(Made);
     m_server = std::move(Made.value());
-    m_folder = testing::TempDir() + "commands_test";
+    m_folder = testing::TempDir() + "commands_test" + std::to_string(getpid());
     std::filesystem::create_directories(m_folder);
     write("10-base.yaml", "deployment: t\nregions: [north]\nmodels:\n  m: "
                           "{weight_gib: 1}\n");
--- a/src/primrosectl/requestlog_test.cpp
+++ b/src/primrosectl/requestlog_test.cpp
@@ -4,6 +4,7 @@
 #include <filesystem>
 #include <fstream>
 #include <gtest/gtest.h>
+#include <unistd.h>
 
 using namespace primroseworks;
 using namespace primroseworks::ctl;
@@ -14,7 +15,8 @@
 protected:
   /// Writes a log file and returns its path.
   std::string write(const std::string &Name, const std::string &Text) {
-    std::string Path = testing::TempDir() + "requestlog_" + Name;
+    std::string Path =
+        testing::TempDir() + "requestlog_" + std::to_string(getpid()) + Name;
     std::ofstream(Path) << Text;
     return Path;
   }
