--- a/src/libgateway/attempt.h
+++ b/src/libgateway/attempt.h
@@ -66,6 +66,11 @@
 inline constexpr std::size_t MaxEventBytes = 1'048'576;
 /// Interim responses (1xx) that are skipped before a response.
 inline constexpr unsigned MaxInterimResponses = 8;
+/// An answer whose events go on for this long shows that the parts of its
+/// prompt do not end the endpoint.
+inline constexpr Milliseconds AnswerProofPeriod{250};
+/// Parts of one prompt that may be suspected; further ones are not.
+inline constexpr std::size_t SuspectPartsMax = 64;
 /// A crash suspect that may not run at an endpoint is looked at again after
 /// this time.
 inline constexpr Milliseconds SuspectCheckInterval{50};
@@ -95,17 +100,22 @@
   bool m_eventSeen = false;    ///< New or sent to the caller before.
   bool m_prefillDone = false;  ///< Its first event arrived.
   TimePoint m_firstEventsAt{}; ///< When its first events arrived.
+  TimePoint m_lastEventsAt{};  ///< When its latest events arrived.
   unsigned m_eventBatches = 0; ///< Reads with events.
   bool m_stalled = false;      ///< It exceeded the route's gap target.
   unsigned m_status = 0;       ///< Of the response; 0 if none.
   /// The endpoint closed the connection before the end of its response.
   bool m_closedByPeer = false;
+  /// Nothing listens at the endpoint's address.
+  bool m_connectionRefused = false;
   /// It was sent and counts among the runs at its endpoint.
   bool m_running = false;
   /// It counts in the load of its endpoint.
   bool m_counted = false;
   /// Another endpoint responded at the address of the chosen one.
   bool m_endpointReplaced = false;
+  /// For how long its events have gone on after the first ones.
+  Duration answerAge() const { return m_lastEventsAt - m_firstEventsAt; }
   /// What it has shown so far, for its coordinator.
   AttemptObservation m_observation;
 };
--- a/src/libgateway/brokenattempts.cpp
+++ b/src/libgateway/brokenattempts.cpp
@@ -5,9 +5,9 @@
 
 namespace primroseworks::gateway {
 
-bool BrokenAttempts::onBroken(std::uint64_t Fingerprint,
+bool BrokenAttempts::onBroken(BrokenRequest Request,
                               const EndpointIncarnation &Which,
-                              const std::string &Address, TimePoint Now) {
+                              const std::string &Address) {
   const auto Known = m_entries.find(Which);
   if (Known != m_entries.end() && Known->second.m_endedAt)
     return true;
@@ -15,7 +15,7 @@
     return false;
   Entry &E = m_entries[Which];
   E.m_address = Address;
-  E.m_attempts.push_back({Fingerprint, Now});
+  E.m_attempts.push_back(std::move(Request));
   ++m_size;
   return false;
 }
@@ -24,9 +24,9 @@
 FoundEnd BrokenAttempts::take(const EndpointIncarnation &Which, Entry &E,
                               TimePoint Now) {
   FoundEnd Out{Which, {}};
-  for (const Broken &B : E.m_attempts)
+  for (BrokenRequest &B : E.m_attempts)
     if (Now - B.m_at <= EndEvidencePeriod)
-      Out.m_fingerprints.push_back(B.m_fingerprint);
+      Out.m_requests.push_back(std::move(B));
   m_size -= E.m_attempts.size();
   E.m_attempts.clear();
   E.m_endedAt = Now;
@@ -46,9 +46,9 @@
   if (It == m_entries.end())
     return;
   Entry &E = It->second;
-  const auto First =
-      std::find_if(E.m_attempts.begin(), E.m_attempts.end(),
-                   [SentAt](const Broken &B) { return B.m_at >= SentAt; });
+  const auto First = std::find_if(
+      E.m_attempts.begin(), E.m_attempts.end(),
+      [SentAt](const BrokenRequest &B) { return B.m_at >= SentAt; });
   m_size -= static_cast<std::size_t>(First - E.m_attempts.begin());
   E.m_attempts.erase(E.m_attempts.begin(), First);
   if (E.m_endedAt && *E.m_endedAt < SentAt)
@@ -72,9 +72,9 @@
 
 void BrokenAttempts::expire(TimePoint Now) {
   for (auto It = m_entries.begin(); It != m_entries.end();) {
-    std::vector<Broken> &List = It->second.m_attempts;
+    std::vector<BrokenRequest> &List = It->second.m_attempts;
     const auto First =
-        std::find_if(List.begin(), List.end(), [Now](const Broken &B) {
+        std::find_if(List.begin(), List.end(), [Now](const BrokenRequest &B) {
           return Now - B.m_at <= EndEvidencePeriod;
         });
     m_size -= static_cast<std::size_t>(First - List.begin());
--- a/src/libgateway/brokenattempts.h
+++ b/src/libgateway/brokenattempts.h
@@ -39,10 +39,18 @@
 inline constexpr NameTable<EndEvidence, 2> EndEvidenceNames = {
     {{EndEvidence::Refused, "refused"}, {EndEvidence::Replaced, "replaced"}}};
 
+/// A request whose attempt was broken off.
+struct BrokenRequest {
+  std::uint64_t m_fingerprint = 0;
+  /// Parts of its prompt that its answer had not shown to be harmless.
+  std::vector<std::uint64_t> m_parts;
+  TimePoint m_at{}; ///< When the attempt was broken off.
+};
+
 /// An end that was found, with the requests whose attempts it broke off.
 struct FoundEnd {
   EndpointIncarnation m_incarnation;
-  std::vector<std::uint64_t> m_fingerprints;
+  std::vector<BrokenRequest> m_requests;
 };
 
 /// An end counts for attempts that were broken off within this time before it
@@ -59,8 +67,8 @@
 public:
   /// An endpoint at Address closed the connection of an attempt. Returns true
   /// if this incarnation is already known to have ended.
-  bool onBroken(std::uint64_t Fingerprint, const EndpointIncarnation &Which,
-                const std::string &Address, TimePoint Now);
+  bool onBroken(BrokenRequest Request, const EndpointIncarnation &Which,
+                const std::string &Address);
   /// The address of this incarnation refuses connections.
   FoundEnd onRefused(const EndpointIncarnation &Which, TimePoint Now);
   /// This incarnation answered a request that was sent at SentAt: it did not
@@ -72,13 +80,9 @@
   std::size_t size() const { return m_size; }
 
 private:
-  struct Broken {
-    std::uint64_t m_fingerprint = 0;
-    TimePoint m_at{};
-  };
   struct Entry {
     std::string m_address;
-    std::vector<Broken> m_attempts; ///< Oldest first.
+    std::vector<BrokenRequest> m_attempts; ///< Oldest first.
     std::optional<TimePoint> m_endedAt;
   };
   FoundEnd take(const EndpointIncarnation &Which, Entry &E, TimePoint Now);
--- a/src/libgateway/connections.cpp
+++ b/src/libgateway/connections.cpp
@@ -197,9 +197,11 @@
   auto C = std::make_shared<Connection>(m_io, Key);
   const std::error_code Ec = co_await open(C, Address, Timeout, SilenceTimeout);
   if (Ec)
-    co_return makeError(ErrorKind::Unavailable, "no connection to " + Address +
-                                                    ": " + Ec.message() +
-                                                    "; use another endpoint");
+    co_return makeError(Ec == asio::error::connection_refused
+                            ? ErrorKind::NotFound
+                            : ErrorKind::Unavailable,
+                        "no connection to " + Address + ": " + Ec.message() +
+                            "; use another endpoint");
   co_return C;
 }
 
@@ -362,7 +364,7 @@
   Result<ConnectionPtr> Opened =
       co_await Pool.acquire(Key, Address, Silence, Silence);
   if (!Opened)
-    co_return Opened.error();
+    co_return makeError(ErrorKind::Unavailable, Opened.error().m_message);
   ConnectionPtr C = Opened.value();
   const TimePoint End = Begin + Limits.m_total;
   MemoryClaimPtr Memory;
--- a/src/libgateway/connections.h
+++ b/src/libgateway/connections.h
@@ -101,7 +101,8 @@
   void limitMemory(MemoryBudget &Budget) { m_memory = &Budget; }
   MemoryBudget *memory() const { return m_memory; }
   /// Returns an idle connection of Key, or a new one to Address. Fails with
-  /// Unavailable if none is open within Timeout.
+  /// NotFound if nothing listens at Address, with Unavailable if no connection
+  /// is open within Timeout.
   asio::awaitable<Result<ConnectionPtr>> acquire(std::string Key,
                                                  std::string Address,
                                                  Milliseconds Timeout,
--- a/src/libgateway/core.cpp
+++ b/src/libgateway/core.cpp
@@ -4,10 +4,18 @@
 #include "libgateway/log.h"
 #include "libgateway/schedulerclient.h"
 
+#include <fmt/format.h>
+#include <fmt/ranges.h>
+
 namespace primroseworks::gateway {
 
 namespace {
 
+/// Prompt parts for the log, in hexadecimal and separated by spaces.
+std::string hexList(const std::vector<std::uint64_t> &Parts) {
+  return fmt::format("{:x}", fmt::join(Parts, " "));
+}
+
 std::size_t budgetBytes(const Settings &Options) {
   const std::size_t Process = processMemoryLimit(Options.m_memoryBytes);
   return static_cast<std::size_t>(static_cast<double>(Process) *
@@ -187,7 +195,8 @@
       CrashSuspects::crashId(Which.m_endpoint, Which.m_incarnation + 1);
   m_metrics->count(std::string("endpoint_end_") +
                    std::string(nameOf(EndEvidenceNames, Evidence)));
-  for (const std::uint64_t Fingerprint : End.m_fingerprints) {
+  for (const BrokenRequest &Broken : End.m_requests) {
+    const std::uint64_t Fingerprint = Broken.m_fingerprint;
     const unsigned Strikes = m_suspects.strike(Fingerprint, Crash, Now);
     m_metrics->count("crash_strike");
     decisionlog::line(LogClass::Failure, "crash_strike")
@@ -195,6 +204,8 @@
         .text("endpoint", Which.m_endpoint)
         .number("incarnation", static_cast<std::int64_t>(Which.m_incarnation))
         .text("evidence", nameOf(EndEvidenceNames, Evidence))
+        .text("parts", hexList(Broken.m_parts))
+        .real("age_ms", toMillis(Now - Broken.m_at))
         .number("strikes", Strikes)
         .number("suspicion", m_suspects.suspicion(Fingerprint, Now))
         .number("refused", m_suspects.refused(Fingerprint, Now) ? 1 : 0);
@@ -204,7 +215,7 @@
     m_onStrike();
 }
 
-asio::awaitable<void> Core::onBroken(std::uint64_t Fingerprint,
+asio::awaitable<void> Core::onBroken(BrokenRequest Request,
                                      EndpointIncarnation Which,
                                      std::string Address) {
   const Endpoint *E = m_endpoints.find(Which.m_endpoint);
@@ -212,8 +223,8 @@
   // removed before it ended.
   if (!E || (E->m_record.m_incarnation == Which.m_incarnation && E->leaving()))
     co_return;
-  if (m_brokenAttempts.onBroken(Fingerprint, Which, Address, clockNow())) {
-    strike({Which, {Fingerprint}}, EndEvidence::Refused, clockNow());
+  if (m_brokenAttempts.onBroken(Request, Which, Address)) {
+    strike({Which, {std::move(Request)}}, EndEvidence::Refused, clockNow());
     co_return;
   }
   if (E->m_record.m_incarnation > Which.m_incarnation) {
@@ -228,7 +239,7 @@
   if (Outcome != ConnectOutcome::Refused)
     co_return;
   const FoundEnd End = m_brokenAttempts.onRefused(Which, clockNow());
-  if (!End.m_fingerprints.empty())
+  if (!End.m_requests.empty())
     strike(End, EndEvidence::Refused, clockNow());
 }
 
--- a/src/libgateway/core.h
+++ b/src/libgateway/core.h
@@ -101,7 +101,7 @@
                   const HttpHead &Head, TimePoint Now);
   /// An endpoint closed the connection of an attempt that it had not answered.
   /// Finds out whether it has ended, which counts against the request.
-  asio::awaitable<void> onBroken(std::uint64_t Fingerprint,
+  asio::awaitable<void> onBroken(BrokenRequest Request,
                                  EndpointIncarnation Which,
                                  std::string Address);
   /// Drops strikes whose endpoint is still registered. To be called while the
--- a/src/libgateway/exchange.cpp
+++ b/src/libgateway/exchange.cpp
@@ -27,6 +27,18 @@
   return Hash | 1;
 }
 
+/// Ids of the prompt parts that other requests may share, each once.
+std::vector<std::uint64_t> sharedParts(const RequestMetadata &Metadata) {
+  std::vector<std::uint64_t> Out;
+  for (std::size_t I = 0; I + 1 < Metadata.m_prompt.size(); ++I) {
+    const std::uint64_t Id = Metadata.m_prompt[I].m_id;
+    if (Out.size() < SuspectPartsMax &&
+        std::find(Out.begin(), Out.end(), Id) == Out.end())
+      Out.push_back(Id);
+  }
+  return Out;
+}
+
 const std::string &pickService(const Route &R, std::mt19937_64 &Random) {
   double Sum = 0;
   for (const WeightedService &S : R.m_services)
@@ -187,6 +199,7 @@
                     Target->second.m_engine.has_value();
   m_fingerprint = hash::number(m_head.m_method + ' ' + m_head.m_target + '\n' +
                                m_requestMetadata.m_model + '\n' + m_body);
+  m_promptParts = sharedParts(m_requestMetadata);
   m_core.retries(m_query.m_service).onRequest(Now);
   if (m_engineService)
     m_core.m_demand.onRequest(m_query.m_model, m_query.m_adapter);
--- a/src/libgateway/exchange.h
+++ b/src/libgateway/exchange.h
@@ -62,6 +62,7 @@
   asio::awaitable<AttemptOutcome> attempt();
   asio::awaitable<AttemptOutcome> resumeSilentAttempt();
   asio::awaitable<AttemptOutcome> readAnswer();
+  BrokenRequest brokenRequest(TimePoint Now) const;
   asio::awaitable<void> examineBreak(AttemptOutcome Outcome);
   void limitAttempt(TimePoint Until);
   void onAttemptTimeout(TimePoint Now);
@@ -119,7 +120,9 @@
   RequestMetadata m_requestMetadata;
   ChoiceQuery m_query;
   std::uint64_t m_fingerprint = 0; ///< Equal for a retry of the same request.
-  bool m_engineService = false;    ///< The service's endpoints are engines.
+  /// Parts of its prompt that other requests may share, each once.
+  std::vector<std::uint64_t> m_promptParts;
+  bool m_engineService = false; ///< The service's endpoints are engines.
 
   /// Limits the wait for an endpoint; cancelled to end it.
   asio::steady_timer m_waitTimer;
--- a/src/libgateway/exchangeattempt.cpp
+++ b/src/libgateway/exchangeattempt.cpp
@@ -227,6 +227,8 @@
       Key, Address, std::min(EndpointConnectTimeout, TimeLeft),
       EndpointUnresponsiveTimeout);
   if (!Opened) {
+    m_attempt.m_connectionRefused =
+        Opened.error().m_kind == ErrorKind::NotFound;
     co_return m_callerGone ? AttemptOutcome::CallerGone
                            : AttemptOutcome::NotConnected;
   }
@@ -540,6 +542,9 @@
       .number("incarnation", static_cast<std::int64_t>(m_attempt.m_incarnation))
       .text("end", nameOf(AttemptOutcomeNames, Outcome))
       .number("closed_by_peer", m_attempt.m_closedByPeer ? 1 : 0)
+      .number("connection_refused", m_attempt.m_connectionRefused ? 1 : 0)
+      .number("event_batches", m_attempt.m_eventBatches)
+      .real("answer_ms", toMillis(m_attempt.answerAge()))
       .hex("fingerprint", m_fingerprint)
       .number("strikes", m_core.m_suspects.strikes(m_fingerprint, Now))
       .number("status", m_attempt.m_status)
@@ -554,6 +559,8 @@
       .text("adapter", m_query.m_adapter);
   m_core.m_metrics->count("attempt_" +
                           std::string(nameOf(AttemptOutcomeNames, Outcome)));
+  if (m_attempt.m_connectionRefused)
+    m_core.m_metrics->count("endpoint_connection_refused");
 }
 
 } // namespace primroseworks::gateway
--- a/src/libgateway/exchangestream.cpp
+++ b/src/libgateway/exchangestream.cpp
@@ -82,6 +82,7 @@
   else
     recordEventGap(Now);
   m_lastEventsAt = Now;
+  m_attempt.m_lastEventsAt = Now;
   if (m_attempt.m_eventBatches++ == 0)
     m_attempt.m_firstEventsAt = Now;
 }
--- a/src/libgateway/exchangesuspect.cpp
+++ b/src/libgateway/exchangesuspect.cpp
@@ -47,6 +47,13 @@
          m_core.m_suspects.mayRun(m_fingerprint, Endpoint, Now);
 }
 
+/// What of the request may be blamed if the endpoint of its attempt has ended.
+BrokenRequest Exchange::brokenRequest(TimePoint Now) const {
+  const bool Proved = m_attempt.answerAge() >= AnswerProofPeriod;
+  return {m_fingerprint, Proved ? std::vector<std::uint64_t>() : m_promptParts,
+          Now};
+}
+
 /// Finds out whether an endpoint that broke off the attempt has ended.
 asio::awaitable<void> Exchange::examineBreak(AttemptOutcome Outcome) {
   const bool NoAnswer =
@@ -55,7 +62,8 @@
     co_return;
   const EndpointIncarnation Which{m_attempt.m_choice.m_endpoint,
                                   m_attempt.m_incarnation};
-  co_await m_core.onBroken(m_fingerprint, Which, m_attempt.m_address);
+  co_await m_core.onBroken(brokenRequest(clockNow()), Which,
+                           m_attempt.m_address);
 }
 
 } // namespace primroseworks::gateway
