--- a/src/include/primroseworks/suspects.h
+++ b/src/include/primroseworks/suspects.h
@@ -1,8 +1,10 @@
-// Requests suspected of crashing endpoints, by fingerprint.
+// Requests suspected of crashing endpoints, by fingerprint, and the parts of
+// their prompts.
 #ifndef PRIMROSEWORKS_SUSPECTS_H
 #define PRIMROSEWORKS_SUSPECTS_H
 
 #include "primroseworks/error.h"
+#include "primroseworks/partsuspects.h"
 #include "primroseworks/time.h"
 
 #include <cstdint>
@@ -32,6 +34,7 @@
   /// How long after its last strike a refusal that was met here is repeated to
   /// the peers.
   Seconds m_refusalRepeat{15};
+  PartSuspectOptions m_parts;
 };
 
 /// What is known of one suspect, for operators.
@@ -50,6 +53,9 @@
 /// suspects include one with more strikes is explained by that one, and does
 /// not restrict those with fewer; its suspicion is the strikes that remain.
 ///
+/// A crash that is explained by a part of a prompt (PartSuspects) is none of a
+/// fingerprint: its strike counts nowhere below.
+///
 /// A fingerprint is refused once it has m_strikes and one of its crashes has no
 /// other suspect with as many: of several that always crashed together, each
 /// must run once more, apart from the others.
@@ -126,9 +132,11 @@
   void onStarted(std::uint64_t Fingerprint, const std::string &Endpoint);
   void onEnded(std::uint64_t Fingerprint, const std::string &Endpoint);
   std::size_t size() const { return m_entries.size(); }
+  PartSuspects &parts() { return m_parts; }
 
 private:
-  explicit CrashSuspects(SuspectOptions Options) : m_options(Options) {}
+  CrashSuspects(SuspectOptions Options, PartSuspects Parts)
+      : m_options(Options), m_parts(std::move(Parts)) {}
   struct Entry {
     std::vector<std::uint64_t> m_crashes; ///< At most m_strikes + 1.
     std::vector<std::uint64_t> m_cleared; ///< Ignored if told again.
@@ -145,6 +153,8 @@
   bool forgive(std::uint64_t Fingerprint);
   static void limitCleared(Entry &E);
   void expire(TimePoint Now);
+  /// Strikes of crashes that no part of a prompt explains.
+  std::size_t openStrikes(const Entry &E) const;
   unsigned suspicionOf(const Entry &E);
   bool isRefused(const Entry &E);
   void findWorst();
@@ -154,6 +164,7 @@
                 TimePoint Now);
 
   SuspectOptions m_options;
+  PartSuspects m_parts;
   std::unordered_map<std::uint64_t, Entry> m_entries; ///< Struck or cleared.
   std::unordered_map<std::string, std::unordered_map<std::uint64_t, unsigned>>
       m_running; ///< Endpoint to fingerprints and how often each runs there.
@@ -163,6 +174,7 @@
   /// By crash; computed again after a change.
   std::unordered_map<std::uint64_t, Worst> m_worst;
   bool m_worstKnown = false;
+  std::uint64_t m_worstVersion = 0; ///< Of m_parts, for m_worst.
   TimePoint m_nextExpiry{};
 };
 
--- a/src/libadmission/suspects.cpp
+++ b/src/libadmission/suspects.cpp
@@ -23,7 +23,8 @@
     return makeError(ErrorKind::InvalidArgument,
                      "crash strikes or their times are not positive; set at "
                      "least 1 strike and 1 s");
-  return CrashSuspects(Options);
+  BOOST_OUTCOME_TRY(Parts, PartSuspects::create(Options.m_parts));
+  return CrashSuspects(Options, std::move(Parts));
 }
 
 std::uint64_t CrashSuspects::crashId(const std::string &Endpoint,
@@ -169,37 +170,51 @@
   return static_cast<unsigned>(It->second.m_crashes.size());
 }
 
+std::size_t CrashSuspects::openStrikes(const Entry &E) const {
+  return static_cast<std::size_t>(std::count_if(
+      E.m_crashes.begin(), E.m_crashes.end(),
+      [this](std::uint64_t Crash) { return !m_parts.explains(Crash); }));
+}
+
 void CrashSuspects::findWorst() {
-  if (m_worstKnown)
+  if (m_worstKnown && m_worstVersion == m_parts.version())
     return;
   m_worst.clear();
-  for (const auto &[Fingerprint, Each] : m_entries)
+  for (const auto &[Fingerprint, Each] : m_entries) {
+    const std::size_t Strikes = openStrikes(Each);
     for (std::uint64_t Crash : Each.m_crashes) {
+      if (m_parts.explains(Crash))
+        continue;
       Worst &W = m_worst[Crash];
-      if (Each.m_crashes.size() > W.m_strikes)
-        W = Worst{Each.m_crashes.size(), 0};
-      if (Each.m_crashes.size() == W.m_strikes)
+      if (Strikes > W.m_strikes)
+        W = Worst{Strikes, 0};
+      if (Strikes == W.m_strikes)
         ++W.m_count;
     }
+  }
   m_worstKnown = true;
+  m_worstVersion = m_parts.version();
 }
 
 unsigned CrashSuspects::suspicionOf(const Entry &E) {
   findWorst();
+  const std::size_t Strikes = openStrikes(E);
   return static_cast<unsigned>(std::count_if(
       E.m_crashes.begin(), E.m_crashes.end(), [&](std::uint64_t Crash) {
-        return m_worst[Crash].m_strikes <= E.m_crashes.size();
+        return !m_parts.explains(Crash) && m_worst[Crash].m_strikes <= Strikes;
       }));
 }
 
 bool CrashSuspects::isRefused(const Entry &E) {
-  if (E.m_crashes.size() < m_options.m_strikes)
+  const std::size_t Strikes = openStrikes(E);
+  if (Strikes < m_options.m_strikes)
     return false;
   findWorst();
   return std::any_of(
       E.m_crashes.begin(), E.m_crashes.end(), [&](std::uint64_t Crash) {
-        const Worst &W = m_worst[Crash];
-        return W.m_strikes == E.m_crashes.size() && W.m_count == 1;
+        const auto W = m_worst.find(Crash);
+        return W != m_worst.end() && W->second.m_strikes == Strikes &&
+               W->second.m_count == 1;
       });
 }
 
--- a/src/libgateway/attempt.h
+++ b/src/libgateway/attempt.h
@@ -25,9 +25,10 @@
   MemoryShort,  ///< Cut, since this process holds too much.
   Silent,       ///< No response, or no further event, before the timeout.
   Superseded,   ///< Given up, since the silent endpoint before it went on.
+  Suspect,      ///< Given up, since a part of its prompt was refused.
   CallerGone    ///< The caller closed its connection.
 };
-inline constexpr NameTable<AttemptOutcome, 12> AttemptOutcomeNames = {
+inline constexpr NameTable<AttemptOutcome, 13> AttemptOutcomeNames = {
     {{AttemptOutcome::Delivered, "delivered"},
      {AttemptOutcome::NotConnected, "not_connected"},
      {AttemptOutcome::NotSent, "not_sent"},
@@ -39,6 +40,7 @@
      {AttemptOutcome::MemoryShort, "memory_short"},
      {AttemptOutcome::Silent, "silent"},
      {AttemptOutcome::Superseded, "superseded"},
+     {AttemptOutcome::Suspect, "suspect"},
      {AttemptOutcome::CallerGone, "caller_gone"}}};
 
 /// Timeout for opening a connection to an endpoint.
@@ -102,6 +104,7 @@
   TimePoint m_firstEventsAt{}; ///< When its first events arrived.
   TimePoint m_lastEventsAt{};  ///< When its latest events arrived.
   unsigned m_eventBatches = 0; ///< Reads with events.
+  TimePoint m_provedAt{};      ///< When its answer last spoke for its parts.
   bool m_stalled = false;      ///< It exceeded the route's gap target.
   unsigned m_status = 0;       ///< Of the response; 0 if none.
   /// The endpoint closed the connection before the end of its response.
--- a/src/libgateway/core.cpp
+++ b/src/libgateway/core.cpp
@@ -209,12 +209,53 @@
         .number("strikes", Strikes)
         .number("suspicion", m_suspects.suspicion(Fingerprint, Now))
         .number("refused", m_suspects.refused(Fingerprint, Now) ? 1 : 0);
-    endRefusedWaits(Fingerprint, Now);
+    strikeParts(End, Broken, Crash, Now);
+    if (m_suspects.refused(Fingerprint, Now))
+      notifyRefusal(Now);
   }
   if (m_onStrike)
     m_onStrike();
 }
 
+/// Counts an end against the parts of a request's prompt.
+void Core::strikeParts(const FoundEnd &End, const BrokenRequest &Request,
+                       std::uint64_t Crash, TimePoint Now) {
+  PartSuspects &Parts = m_suspects.parts();
+  for (const std::uint64_t Part : Request.m_parts) {
+    if (!Parts.strike({Part, Crash, Request.m_fingerprint, Request.m_at},
+                      Now)) {
+      m_metrics->count("part_strike_refuted");
+      continue;
+    }
+    const bool Refused = Parts.refused(Part, Now);
+    m_metrics->count("part_strike");
+    decisionlog::line(LogClass::Failure, "part_strike")
+        .hex("part", Part)
+        .text("endpoint", End.m_incarnation.m_endpoint)
+        .number("incarnation",
+                static_cast<std::int64_t>(End.m_incarnation.m_incarnation))
+        .hex("fingerprint", Request.m_fingerprint)
+        .real("age_ms", toMillis(Now - Request.m_at))
+        .number("ends", Parts.ends(Part))
+        .number("refused", Refused ? 1 : 0);
+    if (Refused)
+      notifyRefusal(Now);
+  }
+}
+
+void Core::onAnswered(const std::vector<std::uint64_t> &Parts, TimePoint Now) {
+  const std::vector<std::uint64_t> Cleared =
+      m_suspects.parts().onAnswered(Parts, Now);
+  for (const std::uint64_t Part : Cleared) {
+    m_metrics->count("part_cleared");
+    decisionlog::line(LogClass::Failure, "part_cleared")
+        .hex("part", Part)
+        .text("by", "answer");
+  }
+  if (!Cleared.empty() && m_onStrike)
+    m_onStrike();
+}
+
 asio::awaitable<void> Core::onBroken(BrokenRequest Request,
                                      EndpointIncarnation Which,
                                      std::string Address) {
@@ -243,12 +284,9 @@
     strike(End, EndEvidence::Refused, clockNow());
 }
 
-void Core::endRefusedWaits(std::uint64_t Fingerprint, TimePoint Now) {
-  if (!m_suspects.refused(Fingerprint, Now))
-    return;
-  const auto [First, Last] = m_waits.equal_range(Fingerprint);
-  for (auto It = First; It != Last; ++It)
-    It->second->cancel();
+void Core::notifyRefusal(TimePoint Now) {
+  for (RefusalListener *Listener : m_refusalListeners)
+    Listener->onSuspectRefused(Now);
 }
 
 void Core::dropRefutedStrikes(TimePoint Now) {
--- a/src/libgateway/core.h
+++ b/src/libgateway/core.h
@@ -21,6 +21,7 @@
 #include <map>
 #include <memory>
 #include <random>
+#include <set>
 #include <string>
 
 namespace primroseworks::gateway {
@@ -38,6 +39,14 @@
   virtual void onRejected() = 0;
 };
 
+/// A request in progress, which a refusal of crash suspects may concern.
+class RefusalListener {
+public:
+  virtual ~RefusalListener() = default;
+  /// A request or a part of a prompt is refused from now on.
+  virtual void onSuspectRefused(TimePoint Now) = 0;
+};
+
 /// How long a request may wait for an endpoint.
 struct WaitLimits {
   TimePoint m_onTimeUntil{}; ///< If dispatched later, its response is late.
@@ -107,8 +116,10 @@
   /// Drops strikes whose endpoint is still registered. To be called while the
   /// list of endpoints is current.
   void dropRefutedStrikes(TimePoint Now);
-  /// Ends the waits of requests with this fingerprint if it is refused now.
-  void endRefusedWaits(std::uint64_t Fingerprint, TimePoint Now);
+  /// An answer to a request with these parts of a prompt has gone on.
+  void onAnswered(const std::vector<std::uint64_t> &Parts, TimePoint Now);
+  /// Tells the requests in progress that a further suspect is refused.
+  void notifyRefusal(TimePoint Now);
   /// Takes an endpoint's record from the store.
   void onRecord(const EndpointRecord &Record, TimePoint Now);
   /// Rejects all waiting requests, and from then on those that would have to
@@ -132,8 +143,7 @@
   WaitQueue m_queue;
   std::map<TicketId, Waiter *> m_waiters; ///< Of the tickets in m_queue.
   MemoryBudget m_memory;
-  /// By fingerprint: the timers of requests that wait for an endpoint.
-  std::multimap<std::uint64_t, asio::steady_timer *> m_waits;
+  std::set<RefusalListener *> m_refusalListeners; ///< Requests in progress.
   ConnectionPool m_pool;
   CrashSuspects m_suspects;
   BrokenAttempts m_brokenAttempts;
@@ -161,6 +171,8 @@
 
 private:
   void strike(const FoundEnd &End, EndEvidence Evidence, TimePoint Now);
+  void strikeParts(const FoundEnd &End, const BrokenRequest &Request,
+                   std::uint64_t Crash, TimePoint Now);
   void onMemoryCut(const MemoryCut &Cut);
 
   std::map<std::string, RetryWindow> m_retries; ///< By service.
--- a/src/libgateway/exchange.cpp
+++ b/src/libgateway/exchange.cpp
@@ -129,6 +129,7 @@
   m_keepAlive = m_head.m_keepAlive;
   bool Keep = false;
   std::exception_ptr Thrown;
+  m_core.m_refusalListeners.insert(this);
   try {
     Keep = co_await serve();
   } catch (const std::exception &) {
@@ -138,6 +139,7 @@
     reportException(*m_core.m_metrics, "request", Thrown);
     Keep = co_await endAfterException();
   }
+  m_core.m_refusalListeners.erase(this);
   const TimePoint Now = clockNow();
   endSilentAttempt(Now);
   if (m_callerGone && m_outcome.empty()) {
@@ -237,9 +239,7 @@
       co_return co_await fail("time_limit");
     if (wouldBeCut())
       co_return co_await rejectNotRun("stopping");
-    // A retried request that crashed several endpoints has the same method,
-    // target, model and body, and so the same fingerprint.
-    const bool Refused = m_core.m_suspects.refused(m_fingerprint, Begin);
+    const bool Refused = isRefusedSuspect(Begin);
     if (Refused && !m_silentAttempt)
       co_return co_await rejectSuspect(Begin);
     const bool Acquired = MaySend && !Refused && co_await acquireEndpoint();
@@ -249,8 +249,7 @@
       co_return false;
     }
     // Its last strike may have ended the wait.
-    if (!Acquired && !m_silentAttempt &&
-        m_core.m_suspects.refused(m_fingerprint, clockNow()))
+    if (!Acquired && !m_silentAttempt && isRefusedSuspect(clockNow()))
       continue;
     if (!Acquired && !m_silentAttempt && co_await waitHeldBack())
       continue;
@@ -290,7 +289,8 @@
     return true;
   if (Outcome == AttemptOutcome::HeldBack)
     return !m_silentAttempt; // It goes on there instead.
-  if (Outcome == AttemptOutcome::Superseded)
+  if (Outcome == AttemptOutcome::Superseded ||
+      Outcome == AttemptOutcome::Suspect)
     return false;
   return (Outcome == AttemptOutcome::NotRun || m_route->mayRunAgain()) &&
          takeRetry(Now);
@@ -301,6 +301,8 @@
   if (Outcome == AttemptOutcome::Failure && !m_committed &&
       m_failureResponse.m_head.m_status != 0)
     co_return co_await forwardFailure();
+  if (Outcome == AttemptOutcome::Suspect)
+    co_return co_await rejectSuspect(clockNow());
   if (Outcome == AttemptOutcome::NotRun)
     co_return co_await rejectNotRun("endpoint_refused");
   co_return co_await fail("endpoint_" +
@@ -347,15 +349,8 @@
   const TimePoint Start = clockNow();
   m_waitTimer.expires_at(Until);
   std::error_code Ignored;
-  const auto Wait = m_core.m_waits.emplace(m_fingerprint, &m_waitTimer);
-  try {
-    co_await m_waitTimer.async_wait(
-        asio::redirect_error(asio::use_awaitable, Ignored));
-  } catch (...) {
-    m_core.m_waits.erase(Wait);
-    throw;
-  }
-  m_core.m_waits.erase(Wait);
+  co_await m_waitTimer.async_wait(
+      asio::redirect_error(asio::use_awaitable, Ignored));
   m_waited += clockNow() - Start;
 }
 
--- a/src/libgateway/exchange.h
+++ b/src/libgateway/exchange.h
@@ -20,6 +20,7 @@
 
 class Exchange : public std::enable_shared_from_this<Exchange>,
                  public Waiter,
+                 public RefusalListener,
                  public ScheduleWaiter {
 public:
   Exchange(Core &Shared, asio::ip::tcp::socket &Caller, HttpHead Head,
@@ -39,6 +40,7 @@
                           Duration ExpectedWait) override;
   void onScheduleWaiting(ChoiceObstacle Obstacle) override;
   void onNoCoordinator() override;
+  void onSuspectRefused(TimePoint Now) override;
 
 private:
   asio::awaitable<bool> serve();
@@ -47,6 +49,7 @@
   asio::awaitable<bool> rejectUnconfigured(TimePoint Now);
   asio::awaitable<bool> finishAfterAttempt(AttemptOutcome Outcome);
   asio::awaitable<bool> acquireEndpoint();
+  bool isRefusedSuspect(TimePoint Now);
   asio::awaitable<bool> rejectSuspect(TimePoint Now);
   asio::awaitable<bool> waitHeldBack();
   bool heldBackTwice(AttemptOutcome Outcome) const;
@@ -63,6 +66,7 @@
   asio::awaitable<AttemptOutcome> resumeSilentAttempt();
   asio::awaitable<AttemptOutcome> readAnswer();
   BrokenRequest brokenRequest(TimePoint Now) const;
+  void recordProof(TimePoint Now);
   asio::awaitable<void> examineBreak(AttemptOutcome Outcome);
   void limitAttempt(TimePoint Until);
   void onAttemptTimeout(TimePoint Now);
@@ -141,6 +145,8 @@
   Watchdog m_silentAttemptTimer;
   /// The current attempt is given up, because the silent endpoint went on.
   bool m_superseded = false;
+  /// The current attempt is given up, because a part of the prompt was refused.
+  bool m_givenUpAsSuspect = false;
   std::unique_ptr<FailoverProbe> m_failover; ///< While the endpoint is silent.
   /// Endpoints at which this request may not run now, as a crash suspect. They
   /// are excluded until it waited for a while.
--- a/src/libgateway/exchangeattempt.cpp
+++ b/src/libgateway/exchangeattempt.cpp
@@ -323,6 +323,9 @@
     m_mayHaveRun = true;
   if (std::exchange(m_superseded, false) && Outcome == AttemptOutcome::Broken)
     co_return AttemptOutcome::Superseded;
+  if (std::exchange(m_givenUpAsSuspect, false) &&
+      Outcome == AttemptOutcome::Broken)
+    co_return AttemptOutcome::Suspect;
   co_return Outcome;
 }
 
@@ -495,6 +498,7 @@
   switch (Outcome) {
   case AttemptOutcome::Delivered:
     m_core.m_suspects.onCompleted(m_fingerprint);
+    m_core.onAnswered(m_promptParts, Now);
     break;
   case AttemptOutcome::CallerGone:
     return;
@@ -513,6 +517,7 @@
   case AttemptOutcome::HeldBack:
   case AttemptOutcome::MemoryShort:
   case AttemptOutcome::Superseded:
+  case AttemptOutcome::Suspect:
     Health = AttemptHealth::Refused;
     break;
   case AttemptOutcome::NotConnected:
--- a/src/libgateway/exchangestream.cpp
+++ b/src/libgateway/exchangestream.cpp
@@ -85,6 +85,7 @@
   m_attempt.m_lastEventsAt = Now;
   if (m_attempt.m_eventBatches++ == 0)
     m_attempt.m_firstEventsAt = Now;
+  recordProof(Now);
 }
 
 /// Forwards complete events to the caller as they arrive. The response head is
--- a/src/libgateway/gatewaystatus.cpp
+++ b/src/libgateway/gatewaystatus.cpp
@@ -68,11 +68,15 @@
   const SuspectsReply Reply =
       answerSuspects(Head.m_method, Path, m_core.m_suspects, clockNow());
   Status = Reply.m_status;
-  if (Reply.m_cleared) {
+  if (Reply.m_cleared)
     decisionlog::line(LogClass::Lifecycle, "suspect_cleared")
         .hex("fingerprint", *Reply.m_cleared);
+  if (Reply.m_clearedPart)
+    decisionlog::line(LogClass::Lifecycle, "part_cleared")
+        .hex("part", *Reply.m_clearedPart)
+        .text("by", "operator");
+  if (Reply.m_cleared || Reply.m_clearedPart)
     m_peers.sendStrikes(clockNow());
-  }
   return Reply.m_body;
 }
 
--- a/src/libgateway/peerreport.cpp
+++ b/src/libgateway/peerreport.cpp
@@ -97,6 +97,14 @@
     for (const PeerStrike &S : R.m_strikes)
       Strikes.push_back(Json::array({S.m_fingerprint, S.m_crash}));
   }
+  if (!R.m_partStrikes.empty()) {
+    Json &Strikes = Out["y"] = Json::array();
+    for (const PeerPartStrike &S : R.m_partStrikes)
+      Strikes.push_back(
+          Json::array({S.m_part, S.m_crash, S.m_request,
+                       static_cast<std::uint64_t>(std::max<std::int64_t>(
+                           0, static_cast<std::int64_t>(S.m_age.count())))}));
+  }
   if (!R.m_overruns.empty()) {
     Json &Overruns = Out["o"] = Json::array();
     for (const PeerOverrun &O : R.m_overruns)
@@ -131,6 +139,10 @@
                             decodeHeld(Row.at(3))});
   for (const Json &Row : In.value("x", Json::array()))
     R.m_strikes.push_back({decodeNumber(Row.at(0)), decodeNumber(Row.at(1))});
+  for (const Json &Row : In.value("y", Json::array()))
+    R.m_partStrikes.push_back({decodeNumber(Row.at(0)), decodeNumber(Row.at(1)),
+                               decodeNumber(Row.at(2)),
+                               Milliseconds(decodeCount(Row.at(3)))});
   for (const Json &Row : In.value("o", Json::array()))
     R.m_overruns.push_back(
         {Row.at(0).get<std::string>(), decodeNumber(Row.at(1))});
@@ -149,6 +161,8 @@
   Short.m_wantedAdapters.resize(
       std::min<std::size_t>(Short.m_wantedAdapters.size(), 100));
   Short.m_strikes.resize(std::min<std::size_t>(Short.m_strikes.size(), 100));
+  Short.m_partStrikes.resize(
+      std::min<std::size_t>(Short.m_partStrikes.size(), 100));
   Out.clear();
   Json::to_cbor(encode(Short), Out);
   return Out;
--- a/src/libgateway/peerreport.h
+++ b/src/libgateway/peerreport.h
@@ -44,6 +44,14 @@
   std::uint64_t m_crash = 0;
 };
 
+/// The same for a part of a prompt.
+struct PeerPartStrike {
+  std::uint64_t m_part = 0;
+  std::uint64_t m_crash = 0;
+  std::uint64_t m_request = 0; ///< Fingerprint of the request that held it.
+  Milliseconds m_age{};        ///< Since the endpoint broke that request off.
+};
+
 /// An endpoint whose response had no end.
 struct PeerOverrun {
   std::string m_endpoint;
@@ -67,6 +75,7 @@
       m_usedAdapters;                  ///< Requested since the last report.
   std::vector<PeerHolding> m_holdings; ///< Sent by the leader only.
   std::vector<PeerStrike> m_strikes;
+  std::vector<PeerPartStrike> m_partStrikes;
   std::vector<PeerOverrun> m_overruns; ///< Seen by the sender recently.
 };
 
@@ -98,7 +107,7 @@
 }
 
 /// Maximum datagram size. From a longer report, the used adapters are dropped,
-/// and wanted adapters and strikes are limited to the first 100 each.
+/// and wanted adapters and strikes of each sort are limited to the first 100.
 inline constexpr std::size_t MaxPeerReportBytes = 32'768;
 
 /// Encodes a report as CBOR.
--- a/src/libgateway/peerreport_fuzz.cpp
+++ b/src/libgateway/peerreport_fuzz.cpp
@@ -21,6 +21,7 @@
   Whole.m_usedAdapters = {{"m1", "a2"}};
   Whole.m_holdings = {{"e1", 77, 12, {HeldModel{"m1", 3, {"a1", "a2"}}}}};
   Whole.m_strikes = {{~0ULL, 5}};
+  Whole.m_partStrikes = {{~0ULL, 5, 9, Milliseconds(70)}};
   Whole.m_overruns = {{"e1", 77}};
   Whole.m_leaderToken = 41;
   Whole.m_fleetLoads = {{"e2", {7, 9000, 300}}};
--- a/src/libgateway/peerreport_test.cpp
+++ b/src/libgateway/peerreport_test.cpp
@@ -22,6 +22,7 @@
   R.m_usedAdapters = {{"m1", "a2"}};
   R.m_holdings = {{"e1", 77, 12, {HeldModel{"m1", 3, {"a1", "a2"}}}}};
   R.m_strikes = {{~0ULL, 5}};
+  R.m_partStrikes = {{~0ULL, 5, 9, Milliseconds(70)}};
   R.m_overruns = {{"e1", 77}};
   R.m_leaderToken = 41;
   R.m_fleetLoads = {{"e2", {7, 9000, 300}}};
@@ -40,6 +41,10 @@
   EXPECT_EQ(R.value().m_wantedAdapters[0].m_artifact.second, "a2");
   EXPECT_EQ(R.value().m_holdings[0].m_held[0].m_adapters.size(), 2U);
   EXPECT_EQ(R.value().m_strikes[0].m_fingerprint, ~0ULL);
+  ASSERT_EQ(R.value().m_partStrikes.size(), 1U);
+  EXPECT_EQ(R.value().m_partStrikes[0].m_part, ~0ULL);
+  EXPECT_EQ(R.value().m_partStrikes[0].m_request, 9U);
+  EXPECT_EQ(R.value().m_partStrikes[0].m_age, Milliseconds(70));
   ASSERT_EQ(R.value().m_overruns.size(), 1U);
   EXPECT_EQ(R.value().m_overruns[0].m_endpoint, "e1");
   EXPECT_EQ(R.value().m_overruns[0].m_incarnation, 77U);
--- a/src/libgateway/peers.cpp
+++ b/src/libgateway/peers.cpp
@@ -19,7 +19,7 @@
     : m_core(Shared), m_socket(Shared.m_io),
       m_audience(Shared.m_settings.m_vm, Shared.m_settings.m_failureDomain,
                  Shared.m_settings.m_regions),
-      m_loadUpdateTimer(Shared.m_io) {
+      m_loadUpdateTimer(Shared.m_io), m_suspects(Shared) {
   m_core.m_onLoadChanged = [this](const std::string &Endpoint) {
     onLoadChanged(Endpoint);
   };
@@ -106,88 +106,29 @@
           E.m_held};
 }
 
-/// Adds a strike, or renews one that is there.
-void Peers::addRecent(std::vector<RecentStrike> &Strikes, const PeerStrike &S,
-                      TimePoint Now) {
-  const auto Known = std::find_if(
-      Strikes.begin(), Strikes.end(), [&S](const RecentStrike &Other) {
-        return Other.m_strike.m_fingerprint == S.m_fingerprint &&
-               Other.m_strike.m_crash == S.m_crash;
-      });
-  if (Known != Strikes.end())
-    Known->m_at = Now;
-  else if (Strikes.size() < RecentStrikesMax)
-    Strikes.push_back({S, Now});
-}
-
-/// Ends the repetition of a clearance, which would clear newer strikes.
-void Peers::dropClear(std::uint64_t Fingerprint) {
-  for (std::vector<RecentStrike> *Strikes : {&m_strikes, &m_peerStrikes})
-    Strikes->erase(std::remove_if(Strikes->begin(), Strikes->end(),
-                                  [Fingerprint](const RecentStrike &S) {
-                                    return S.m_strike.m_crash == 0 &&
-                                           S.m_strike.m_fingerprint ==
-                                               Fingerprint;
-                                  }),
-                   Strikes->end());
-}
-
-void Peers::dropOld(std::vector<RecentStrike> &Strikes, TimePoint Now) {
-  Strikes.erase(std::remove_if(Strikes.begin(), Strikes.end(),
-                               [Now](const RecentStrike &S) {
-                                 return Now - S.m_at > StrikeRepeatPeriod;
-                               }),
-                Strikes.end());
-}
-
-/// Updates the strikes of this VM that are told to the peers.
-void Peers::collectStrikes(TimePoint Now) {
-  dropOld(m_strikes, Now);
-  for (const auto &[Fingerprint, Crash] : m_core.m_suspects.take()) {
-    if (Crash != 0)
-      dropClear(Fingerprint);
-    addRecent(m_strikes, {Fingerprint, Crash}, Now);
-  }
-}
-
-PeerReport Peers::strikeReport(std::vector<PeerStrike> Strikes) {
+void Peers::sendStrikes(TimePoint Now) {
+  m_suspects.collect(Now);
   PeerReport Report = emptyReport(0);
   Report.m_partial = true;
-  Report.m_strikes = std::move(Strikes);
-  return Report;
-}
-
-void Peers::sendStrikes(TimePoint Now) {
-  collectStrikes(Now);
-  std::vector<PeerStrike> Strikes;
-  for (const RecentStrike &S : m_strikes)
-    Strikes.push_back(S.m_strike);
-  const PeerReport Report = strikeReport(std::move(Strikes));
+  m_suspects.addOwn(Report, Now);
   sendTo(Report, m_audience.receivers(m_leader, true));
   sendTo(Report, m_audience.dependents());
 }
 
 /// Tells the strikes of suspects that compete or are refused once more.
 void Peers::repeatSuspects(TimePoint Now) {
-  if (Now - m_suspectsRepeatedAt < SuspectRepeatInterval)
-    return;
-  m_suspectsRepeatedAt = Now;
-  std::vector<PeerStrike> Strikes;
-  for (const auto &[Fingerprint, Crash] : m_core.m_suspects.repeats(Now))
-    if (Strikes.size() < RecentStrikesMax)
-      Strikes.push_back({Fingerprint, Crash});
-  if (!Strikes.empty())
-    sendTo(strikeReport(std::move(Strikes)),
-           m_audience.receivers(m_leader, true));
+  PeerReport Report = emptyReport(0);
+  Report.m_partial = true;
+  if (m_suspects.addRepeats(Report, Now))
+    sendTo(Report, m_audience.receivers(m_leader, true));
 }
 
 PeerReport Peers::localReport(std::uint64_t LeaderToken, TimePoint Now) {
   PeerReport R = emptyReport(LeaderToken);
   R.m_loads = ownLoads();
   m_core.m_demand.fill(R, m_core.m_queue);
-  collectStrikes(Now);
-  for (const RecentStrike &S : m_strikes)
-    R.m_strikes.push_back(S.m_strike);
+  m_suspects.collect(Now);
+  m_suspects.addOwn(R, Now);
   for (const auto &[Id, E] : m_core.m_endpoints.all())
     if (E.m_overrunAt != TimePoint{} &&
         Now - E.m_overrunAt <= OverrunRepeatPeriod)
@@ -247,8 +188,9 @@
   m_core.m_fleetDemand.onReport(Report, Now);
   m_changedLoads.clear();
   // Coordinators must also hear that there are no loads any more.
-  const bool ForAll = !Report.m_loads.empty() || m_sentLoads ||
-                      !Report.m_strikes.empty() || !Report.m_overruns.empty();
+  const bool ForAll =
+      !Report.m_loads.empty() || m_sentLoads || !Report.m_strikes.empty() ||
+      !Report.m_partStrikes.empty() || !Report.m_overruns.empty();
   m_sentLoads = !Report.m_loads.empty();
   sendTo(Report, m_audience.receivers(m_leader, ForAll));
   repeatSuspects(Now);
@@ -267,11 +209,9 @@
     if (Load.m_requests > 0)
       Report.m_fleetLoads.push_back({Id, Load});
   }
-  for (std::vector<RecentStrike> *Strikes : {&m_strikes, &m_peerStrikes}) {
-    dropOld(*Strikes, Now);
-    for (const RecentStrike &S : *Strikes)
-      Report.m_strikes.push_back(S.m_strike);
-  }
+  m_suspects.collect(Now);
+  m_suspects.addOwn(Report, Now);
+  m_suspects.addPeers(Report, Now);
   sendTo(Report, To);
 }
 
@@ -357,25 +297,17 @@
 }
 
 /// Applies the strikes of a report. A coordinator passes new ones on at once,
-/// before their fingerprint may run again.
+/// before their suspect may run again.
 void Peers::applyStrikes(const PeerReport &Report, TimePoint Now) {
-  std::vector<PeerStrike> New;
-  for (const PeerStrike &S : Report.m_strikes) {
-    const unsigned Before = m_core.m_suspects.strikes(S.m_fingerprint, Now);
-    const unsigned After =
-        m_core.m_suspects.addFromPeer(S.m_fingerprint, S.m_crash, Now);
-    if (After != Before)
-      New.push_back(S);
-    if (After > Before) {
-      dropClear(S.m_fingerprint);
-      m_core.endRefusedWaits(S.m_fingerprint, Now);
-    }
-    if (m_audience.isCoordinator())
-      addRecent(m_peerStrikes, S, Now);
-  }
-  if (New.empty() || !m_audience.isCoordinator())
-    return;
-  sendTo(strikeReport(std::move(New)), m_audience.dependents());
+  const bool PassOn = m_audience.isCoordinator();
+  PeerReport News = emptyReport(0);
+  News.m_partial = true;
+  m_suspects.apply(Report, PassOn, News, Now);
+  // Answers of this VM speak for parts that a peer suspects.
+  if (m_core.m_suspects.parts().hasChanges())
+    sendStrikes(Now);
+  if (PassOn && (!News.m_strikes.empty() || !News.m_partStrikes.empty()))
+    sendTo(News, m_audience.dependents());
 }
 
 void Peers::apply(const PeerReport &Report, TimePoint Now) {
--- a/src/libgateway/peers.h
+++ b/src/libgateway/peers.h
@@ -8,6 +8,7 @@
 #include "libgateway/peeraudience.h"
 #include "libgateway/peerreport.h"
 #include "libgateway/schedulingmessage.h"
+#include "libgateway/suspectexchange.h"
 
 #include <asio/awaitable.hpp>
 #include <asio/ip/udp.hpp>
@@ -28,17 +29,9 @@
 /// Minimum interval between two attempts to dispatch waiting requests that are
 /// triggered by load reports.
 inline constexpr Milliseconds MinDispatchInterval{10};
-/// A crash is repeated in reports for this long, so that a lost datagram does
-/// not hide it.
-inline constexpr Milliseconds StrikeRepeatPeriod{2000};
-/// Interval at which the strikes of suspects that compete or are refused are
-/// told again, for gateways that were away or start later.
-inline constexpr Milliseconds SuspectRepeatInterval{1000};
 /// An overrun of an endpoint is repeated in reports for this long. One report
 /// may be lost.
 inline constexpr Milliseconds OverrunRepeatPeriod{600};
-/// Most strikes that are kept for repetition.
-inline constexpr std::size_t RecentStrikesMax = 256;
 
 class Peers {
 public:
@@ -100,9 +93,7 @@
   void onMessageBytes(const std::string &Bytes, const std::string &From);
   PeerReport emptyReport(std::uint64_t LeaderToken);
   PeerHolding holding(const Endpoint &E) const;
-  void collectStrikes(TimePoint Now);
   void repeatSuspects(TimePoint Now);
-  PeerReport strikeReport(std::vector<PeerStrike> Strikes);
   void applyStrikes(const PeerReport &Report, TimePoint Now);
   std::vector<PeerEndpointLoad> ownLoads() const;
   void sendBytes(const std::string &Bytes, const Member &To);
@@ -132,18 +123,7 @@
       m_changedHoldings; ///< Time of the last change, by endpoint; repeated for
                          ///< HoldingRepeatPeriod.
   std::function<void()> m_onPeerAdapterWanted;
-  struct RecentStrike {
-    PeerStrike m_strike;
-    TimePoint m_at{};
-  };
-  static void addRecent(std::vector<RecentStrike> &Strikes, const PeerStrike &S,
-                        TimePoint Now);
-  void dropClear(std::uint64_t Fingerprint);
-  static void dropOld(std::vector<RecentStrike> &Strikes, TimePoint Now);
-  std::vector<RecentStrike> m_strikes; ///< Repeated for StrikeRepeatPeriod.
-  TimePoint m_suspectsRepeatedAt{};
-  /// Strikes from reports, which a coordinator passes on to its dependents.
-  std::vector<RecentStrike> m_peerStrikes;
+  SuspectExchange m_suspects;
   std::function<void(SchedulingMessage)> m_onMessage;
 };
 
--- a/src/libgateway/suspectspage.cpp
+++ b/src/libgateway/suspectspage.cpp
@@ -10,8 +10,10 @@
 
 constexpr int HexBase = 16;
 
-std::optional<std::uint64_t> fingerprintIn(const std::string &Path) {
-  const std::string Prefix = std::string(SuspectsPath) + '/';
+/// The number that follows Base and a slash.
+std::optional<std::uint64_t> numberAfter(const char *Base,
+                                         const std::string &Path) {
+  const std::string Prefix = std::string(Base) + '/';
   if (Path.rfind(Prefix, 0) != 0)
     return std::nullopt;
   std::uint64_t Value = 0;
@@ -23,6 +25,15 @@
   return Value;
 }
 
+std::string listParts(const PartSuspects &Parts, TimePoint Now) {
+  std::string Out;
+  for (const PartSuspectState &S : Parts.list(Now))
+    Out +=
+        fmt::format("{:x} {} {} {} {:.0f}\n", S.m_part, S.m_ends, S.m_requests,
+                    S.m_refused ? "yes" : "no", toSeconds(S.m_remaining));
+  return Out.empty() ? Out : "part ends requests refused ends_in_s\n" + Out;
+}
+
 } // namespace
 
 SuspectsReply answerSuspects(const std::string &Method, const std::string &Path,
@@ -34,16 +45,23 @@
       Out.m_body += fmt::format(
           "{:016x} {} {} {} {:.0f}\n", S.m_fingerprint, S.m_strikes,
           S.m_suspicion, S.m_refused ? "yes" : "no", toSeconds(S.m_remaining));
+    Out.m_body += listParts(Suspects.parts(), Now);
     return Out;
   }
-  const std::optional<std::uint64_t> Fingerprint = fingerprintIn(Path);
-  if (Method != "POST" || !Fingerprint) {
+  const std::optional<std::uint64_t> Part = numberAfter(SuspectPartsPath, Path);
+  const std::optional<std::uint64_t> Fingerprint =
+      numberAfter(SuspectsPath, Path);
+  if (Method != "POST" || (!Fingerprint && !Part)) {
     Out.m_status = 404;
     Out.m_body = "GET /suspects lists the suspects, POST "
-                 "/suspects/FINGERPRINT clears one\n";
+                 "/suspects/FINGERPRINT or /suspects/part/ID clears one\n";
     return Out;
   }
-  Suspects.onCompleted(*Fingerprint);
+  if (Part)
+    Suspects.parts().clear(*Part);
+  else
+    Suspects.onCompleted(*Fingerprint);
+  Out.m_clearedPart = Part;
   Out.m_cleared = Fingerprint;
   Out.m_body = "cleared\n";
   return Out;
--- a/src/libgateway/suspectspage_test.cpp
+++ b/src/libgateway/suspectspage_test.cpp
@@ -28,10 +28,28 @@
   EXPECT_EQ(S.take().size(), 1U); // The peers hear of it.
 }
 
+TEST(SuspectsPage, ListsAndClearsParts) {
+  CrashSuspects S = std::move(CrashSuspects::create({})).value();
+  for (std::uint64_t Crash : {1, 2, 3})
+    S.parts().strike({0xb8, Crash, Crash, Start}, Start);
+  (void)S.parts().take();
+  EXPECT_EQ(answerSuspects("GET", "/suspects", S, Start).m_body,
+            "fingerprint strikes suspicion refused expires_in_s\n"
+            "part ends requests refused ends_in_s\n"
+            "b8 3 2 yes 60\n");
+  const SuspectsReply Cleared =
+      answerSuspects("POST", "/suspects/part/b8", S, Start);
+  EXPECT_EQ(Cleared.m_clearedPart, 0xb8U);
+  EXPECT_FALSE(Cleared.m_cleared);
+  EXPECT_FALSE(S.parts().refused(0xb8, Start));
+  EXPECT_EQ(S.parts().take().size(), 1U); // The peers hear of it.
+}
+
 TEST(SuspectsPage, RejectsOtherCalls) {
   CrashSuspects S = std::move(CrashSuspects::create({})).value();
-  for (const char *Path : {"/suspects/", "/suspects/xyz", "/suspectsabc",
-                           "/suspects/1/2", "/suspects"})
+  for (const char *Path :
+       {"/suspects/", "/suspects/xyz", "/suspectsabc", "/suspects/1/2",
+        "/suspects", "/suspects/part/", "/suspects/part/x"})
     EXPECT_EQ(answerSuspects("POST", Path, S, Start).m_status, 404U) << Path;
   EXPECT_EQ(answerSuspects("DELETE", "/suspects/1", S, Start).m_status, 404U);
 }
