--- a/src/libgateway/connections.cpp
+++ b/src/libgateway/connections.cpp
@@ -127,9 +127,9 @@
           "endpoint");
     if (Ec) {
       m_open = false;
+      m_closedByPeer = isClose(Ec);
       if (Ec == asio::error::eof && m_reader.finishAtEnd())
         co_return boost::outcome_v2::success();
-      m_closedByPeer = isClose(Ec);
       co_return makeError(
           ErrorKind::Closed,
           "the connection was closed before the end of the response: " +
--- a/src/libgateway/connections.h
+++ b/src/libgateway/connections.h
@@ -69,7 +69,8 @@
   std::string m_input; ///< Received but not yet parsed.
   bool m_reused = false;
   bool m_open = false;
-  /// The peer closed or reset it before the end of a response.
+  /// The peer closed or reset it before the end of a response, or to end one
+  /// that has neither a length nor chunks.
   bool m_closedByPeer = false;
   bool m_sent = false; ///< Bytes of the current request may have been sent.
   /// Idle time after which the peer closes it.
--- a/src/libgateway/core.cpp
+++ b/src/libgateway/core.cpp
@@ -256,32 +256,48 @@
     m_onStrike();
 }
 
-asio::awaitable<void> Core::onBroken(BrokenRequest Request,
-                                     EndpointIncarnation Which,
-                                     std::string Address) {
+asio::awaitable<EndpointFate> Core::onBroken(BrokenRequest Request,
+                                             EndpointIncarnation Which,
+                                             std::string Address) {
   const Endpoint *E = m_endpoints.find(Which.m_endpoint);
   // An endpoint that leaves ends as planned, and so does one whose record was
   // removed before it ended.
   if (!E || (E->m_record.m_incarnation == Which.m_incarnation && E->leaving()))
-    co_return;
+    co_return EndpointFate::Unknown;
   if (m_brokenAttempts.onBroken(Request, Which, Address)) {
     strike({Which, {std::move(Request)}}, EndEvidence::Refused, clockNow());
-    co_return;
+    co_return EndpointFate::Ended;
   }
   if (E->m_record.m_incarnation > Which.m_incarnation) {
     for (const FoundEnd &End :
          m_brokenAttempts.onRecord(E->m_record, clockNow()))
       strike(End, EndEvidence::Replaced, clockNow());
-    co_return;
+    co_return EndpointFate::Ended;
   }
   const std::string Key = Which.m_endpoint + '@' + Address;
   const ConnectOutcome Outcome =
       co_await m_endpointProbe.ask(Key, Address, EndpointUnresponsiveTimeout);
   if (Outcome != ConnectOutcome::Refused)
-    co_return;
+    co_return Outcome == ConnectOutcome::Accepted ? EndpointFate::Lives
+                                                  : EndpointFate::Unknown;
   const FoundEnd End = m_brokenAttempts.onRefused(Which, clockNow());
   if (!End.m_requests.empty())
     strike(End, EndEvidence::Refused, clockNow());
+  co_return EndpointFate::Ended;
+}
+
+asio::awaitable<void> Core::onEndedByClose(BrokenRequest Request,
+                                           std::vector<std::uint64_t> Parts,
+                                           EndpointIncarnation Which,
+                                           std::string Address) {
+  const std::uint64_t Fingerprint = Request.m_fingerprint;
+  const EndpointFate Fate = co_await onBroken(
+      std::move(Request), std::move(Which), std::move(Address));
+  m_metrics->count("response_ended_by_close");
+  if (Fate != EndpointFate::Lives)
+    co_return;
+  m_suspects.onCompleted(Fingerprint);
+  onAnswered(Parts, clockNow());
 }
 
 void Core::notifyRefusal(TimePoint Now) {
--- a/src/libgateway/core.h
+++ b/src/libgateway/core.h
@@ -39,6 +39,9 @@
   virtual void onRejected() = 0;
 };
 
+/// What became of an endpoint that closed the connection of an attempt.
+enum class EndpointFate { Unknown, Lives, Ended };
+
 /// A request in progress, which a refusal of crash suspects may concern.
 class RefusalListener {
 public:
@@ -110,9 +113,16 @@
                   const HttpHead &Head, TimePoint Now);
   /// An endpoint closed the connection of an attempt that it had not answered.
   /// Finds out whether it has ended, which counts against the request.
-  asio::awaitable<void> onBroken(BrokenRequest Request,
-                                 EndpointIncarnation Which,
-                                 std::string Address);
+  asio::awaitable<EndpointFate> onBroken(BrokenRequest Request,
+                                         EndpointIncarnation Which,
+                                         std::string Address);
+  /// An endpoint closed the connection to end a response with neither a length
+  /// nor chunks. If it lives, that is an answer; if it has ended, the response
+  /// may be cut.
+  asio::awaitable<void> onEndedByClose(BrokenRequest Request,
+                                       std::vector<std::uint64_t> Parts,
+                                       EndpointIncarnation Which,
+                                       std::string Address);
   /// Drops strikes whose endpoint is still registered. To be called while the
   /// list of endpoints is current.
   void dropRefutedStrikes(TimePoint Now);
--- a/src/libgateway/exchangeattempt.cpp
+++ b/src/libgateway/exchangeattempt.cpp
@@ -497,8 +497,11 @@
   observeNotice(Now);
   switch (Outcome) {
   case AttemptOutcome::Delivered:
-    m_core.m_suspects.onCompleted(m_fingerprint);
-    m_core.onAnswered(m_promptParts, Now);
+    // One that its endpoint ended by closing may be cut: see onEndedByClose().
+    if (!m_attempt.m_closedByPeer) {
+      m_core.m_suspects.onCompleted(m_fingerprint);
+      m_core.onAnswered(m_promptParts, Now);
+    }
     break;
   case AttemptOutcome::CallerGone:
     return;
--- a/src/libgateway/exchangesuspect.cpp
+++ b/src/libgateway/exchangesuspect.cpp
@@ -2,6 +2,7 @@
 // whether it may run, and what the end of an attempt shows.
 #include "libgateway/exchange.h"
 #include "libgateway/log.h"
+#include "libgateway/tasks.h"
 
 #include <algorithm>
 #include <utility>
@@ -101,12 +102,23 @@
 
 /// Finds out whether an endpoint that broke off the attempt has ended.
 asio::awaitable<void> Exchange::examineBreak(AttemptOutcome Outcome) {
-  const bool NoAnswer =
-      Outcome == AttemptOutcome::Broken || Outcome == AttemptOutcome::Silent;
-  if (!NoAnswer || !m_attempt.m_closedByPeer)
+  const bool Delivered = Outcome == AttemptOutcome::Delivered;
+  const bool Failed = Outcome == AttemptOutcome::Broken ||
+                      Outcome == AttemptOutcome::Silent ||
+                      Outcome == AttemptOutcome::Failure;
+  if (!m_attempt.m_closedByPeer || !(Failed || Delivered))
     co_return;
   const EndpointIncarnation Which{m_attempt.m_choice.m_endpoint,
                                   m_attempt.m_incarnation};
+  if (Delivered) {
+    // The caller has its response and does not wait for this.
+    spawnTask(m_core.m_io, *m_core.m_metrics, "ended_by_close",
+              [&Shared = m_core, Request = brokenRequest(clockNow()),
+               Parts = m_promptParts, Which, Address = m_attempt.m_address] {
+                return Shared.onEndedByClose(Request, Parts, Which, Address);
+              });
+    co_return;
+  }
   co_await m_core.onBroken(brokenRequest(clockNow()), Which,
                            m_attempt.m_address);
 }
