--- a/src/libgateway/chooser.cpp
+++ b/src/libgateway/chooser.cpp
@@ -148,6 +148,11 @@
       PauseEnd = std::min(PauseEnd, E.m_notice.m_pausedUntil);
       continue;
     }
+    // After a refused connection, one request finds out whether it is back.
+    if (E.m_refusedConnections > 0 && E.m_localLoad.m_requests > 0) {
+      RecordObstacle(ChoiceObstacle::Full);
+      continue;
+    }
     unsigned Slots = E.m_record.m_slots;
     if (Target.m_engine && Target.m_engine->m_slots > 0)
       Slots = Target.m_engine->m_slots;
--- a/src/libgateway/core.cpp
+++ b/src/libgateway/core.cpp
@@ -188,6 +188,14 @@
     onNotice(Id, *Notice, NoticeSource::Response, Now);
 }
 
+void Core::onConnectionRefused(const std::string &Id, TimePoint Now) {
+  m_metrics->count("endpoint_connection_refused");
+  const std::optional<EndpointNotice> Notice =
+      m_endpoints.onConnectionRefused(Id, Now);
+  if (Notice)
+    onNotice(Id, *Notice, NoticeSource::Connection, Now);
+}
+
 /// Counts an end against the requests whose attempts it broke off.
 void Core::strike(const FoundEnd &End, EndEvidence Evidence, TimePoint Now) {
   const EndpointIncarnation &Which = End.m_incarnation;
@@ -280,6 +288,7 @@
   if (Outcome != ConnectOutcome::Refused)
     co_return Outcome == ConnectOutcome::Accepted ? EndpointFate::Lives
                                                   : EndpointFate::Unknown;
+  onConnectionRefused(Which.m_endpoint, clockNow());
   const FoundEnd End = m_brokenAttempts.onRefused(Which, clockNow());
   if (!End.m_requests.empty())
     strike(End, EndEvidence::Refused, clockNow());
--- a/src/libgateway/core.h
+++ b/src/libgateway/core.h
@@ -111,6 +111,8 @@
   /// Takes what a response of an endpoint says of the endpoint itself.
   void onResponse(const std::string &Id, std::uint64_t Incarnation,
                   const HttpHead &Head, TimePoint Now);
+  /// Nothing listens at the address of an endpoint: pauses it for a time.
+  void onConnectionRefused(const std::string &Id, TimePoint Now);
   /// An endpoint closed the connection of an attempt that it had not answered.
   /// Finds out whether it has ended, which counts against the request.
   asio::awaitable<EndpointFate> onBroken(BrokenRequest Request,
--- a/src/libgateway/endpointnotice.h
+++ b/src/libgateway/endpointnotice.h
@@ -1,5 +1,6 @@
 // What endpoints say of themselves in their responses: that they are leaving,
-// or that they want no requests for some time.
+// or that they want no requests for some time. An address that refuses
+// connections counts as the latter.
 //
 // Such a notice holds for one incarnation of an endpoint and outlives what the
 // metadata store says: its record may be older, be read again from an older
@@ -35,11 +36,14 @@
 
 /// From whom a VM heard a notice.
 enum class NoticeSource {
-  Response, ///< From the endpoint itself.
-  Gateway   ///< From another gateway, in what its attempt showed.
+  Response,   ///< From the endpoint itself.
+  Connection, ///< From its address, which refused a connection.
+  Gateway     ///< From another gateway, in what its attempt showed.
 };
-inline constexpr NameTable<NoticeSource, 2> NoticeSourceNames = {
-    {{NoticeSource::Response, "response"}, {NoticeSource::Gateway, "gateway"}}};
+inline constexpr NameTable<NoticeSource, 3> NoticeSourceNames = {
+    {{NoticeSource::Response, "response"},
+     {NoticeSource::Connection, "connection"},
+     {NoticeSource::Gateway, "gateway"}}};
 
 /// The notice in a response of the endpoint Id, received at Now; nothing if it
 /// contains none or another endpoint sent it.
--- a/src/libgateway/endpoints.cpp
+++ b/src/libgateway/endpoints.cpp
@@ -284,6 +284,26 @@
   E->m_nextProbe = Now + AvoidedProbeInterval;
 }
 
+std::optional<EndpointNotice>
+EndpointTable::onConnectionRefused(const std::string &Id, TimePoint Now) {
+  Endpoint *E = find(Id);
+  if (!E || E->paused(Now))
+    return std::nullopt;
+  const auto Refusals = static_cast<int>(++E->m_refusedConnections);
+  const Milliseconds Pause = std::min<Milliseconds>(
+      RefusedConnectionPause * Refusals, MaxRefusedConnectionPause);
+  EndpointNotice Notice;
+  Notice.m_incarnation = E->m_record.m_incarnation;
+  Notice.m_pausedUntil = Now + Pause;
+  Notice.m_heardAt = Now;
+  return Notice;
+}
+
+void EndpointTable::onConnected(const std::string &Id) {
+  if (Endpoint *E = find(Id))
+    E->m_refusedConnections = 0;
+}
+
 void EndpointTable::onFirstByte(const std::string &Id, Duration Latency) {
   Endpoint *E = find(Id);
   if (!E)
--- a/src/libgateway/endpoints.h
+++ b/src/libgateway/endpoints.h
@@ -83,6 +83,7 @@
   TimePoint m_nextProbe{};   ///< Next probe request while it is avoided.
   TimePoint m_overrunAt{};   ///< Latest overrun that this VM has seen.
   unsigned m_consecutiveSilent = 0;
+  unsigned m_refusedConnections = 0; ///< In a row, one for each pause.
   /// Recently rejected artifacts, with the time until which each counts.
   std::map<std::string, TimePoint> m_rejectedArtifacts;
   /// Set while its record is missing because of an outage of the store: the
@@ -99,7 +100,8 @@
   bool available(TimePoint Now) const {
     return !leaving() && (!m_keptUntil || Now < *m_keptUntil);
   }
-  /// Whether it asked for a pause that is not over.
+  /// Whether it asked for a pause, or refused connections, and that is not
+  /// over.
   bool paused(TimePoint Now) const { return Now < m_notice.m_pausedUntil; }
   /// Whether requests may be sent to it at Now. Whatever chooses, reserves or
   /// sends asks this.
@@ -129,6 +131,11 @@
 inline constexpr double PrefillWeight = 0.05;
 /// Part of the first event's latency that does not depend on the prompt.
 inline constexpr double FirstEventBaseMs = 30;
+/// Pause after an endpoint refused a connection: so long times the number of
+/// refusals in a row, but not over the maximum. The next run of its process is
+/// another incarnation, which is not paused.
+inline constexpr Milliseconds RefusedConnectionPause{250};
+inline constexpr Milliseconds MaxRefusedConnectionPause{1000};
 /// Interval between probe requests to an avoided endpoint.
 inline constexpr Milliseconds AvoidedProbeInterval{700};
 /// Time without requests for an artifact after the endpoint rejected one for
@@ -200,6 +207,12 @@
   /// Another VM has seen an overrun of this incarnation.
   void onPeerOverrun(const std::string &Id, std::uint64_t Incarnation,
                      TimePoint Now);
+  /// Nothing listens at the address of the endpoint. Returns the notice of the
+  /// pause that follows; nothing if it is paused already.
+  std::optional<EndpointNotice> onConnectionRefused(const std::string &Id,
+                                                    TimePoint Now);
+  /// A connection to the endpoint was opened, or one was open.
+  void onConnected(const std::string &Id);
   void onFirstByte(const std::string &Id, Duration Latency);
   /// Records whether a stream had a pause over its target (Stalled) or ended
   /// without one.
--- a/src/libgateway/exchangeattempt.cpp
+++ b/src/libgateway/exchangeattempt.cpp
@@ -229,10 +229,13 @@
   if (!Opened) {
     m_attempt.m_connectionRefused =
         Opened.error().m_kind == ErrorKind::NotFound;
+    if (m_attempt.m_connectionRefused)
+      m_core.onConnectionRefused(m_attempt.m_choice.m_endpoint, clockNow());
     co_return m_callerGone ? AttemptOutcome::CallerGone
                            : AttemptOutcome::NotConnected;
   }
   ConnectionPtr C = Opened.value();
+  m_core.m_endpoints.onConnected(m_attempt.m_choice.m_endpoint);
   if (m_callerGone) {
     // Nothing was sent, so the connection could be reused; it is closed all the
     // same.
@@ -567,8 +570,6 @@
       .text("adapter", m_query.m_adapter);
   m_core.m_metrics->count("attempt_" +
                           std::string(nameOf(AttemptOutcomeNames, Outcome)));
-  if (m_attempt.m_connectionRefused)
-    m_core.m_metrics->count("endpoint_connection_refused");
 }
 
 } // namespace primroseworks::gateway
