--- a/src/include/primroseworks/partsuspects.h
+++ b/src/include/primroseworks/partsuspects.h
@@ -21,8 +21,11 @@
   /// An answer speaks for its parts for this long.
   Seconds m_answerLifetime{3};
   /// Requests with a part that has all but one of the ends wait this long after
-  /// its last one: an answer elsewhere may clear it meanwhile.
+  /// its last one: an answer elsewhere may clear it meanwhile. Then the VMs
+  /// take turns, so that an end is known before the next request begins.
   Milliseconds m_settle{500};
+  Milliseconds m_turn{250};
+  unsigned m_turns = 8;  ///< Before it is a VM's turn again, at most.
   Seconds m_refusal{60}; ///< The first refusal; each further one is twice as
                          ///< long.
   Seconds m_maxRefusal{600};
@@ -87,6 +90,11 @@
   Duration remaining(std::uint64_t Part, TimePoint Now) const;
   /// Whether a request with these parts may be sent now.
   bool mayStart(const std::vector<std::uint64_t> &Parts, TimePoint Now) const;
+  /// A request with these parts was sent, or its attempt has ended.
+  void onStarted(const std::vector<std::uint64_t> &Parts);
+  void onEnded(const std::vector<std::uint64_t> &Parts);
+  /// This VM is the one with this index of Count VMs.
+  void setTurn(std::size_t Index, std::size_t Count);
   /// Whether a part that is or was refused caused this crash.
   bool explains(std::uint64_t Crash) const {
     return m_explained.count(Crash) > 0;
@@ -115,6 +123,7 @@
   bool answeredSince(std::uint64_t Part, TimePoint Since) const;
   bool hasEnough(const Entry &E) const;
   Duration refusalOf(const Entry &E) const;
+  bool partMayStart(std::uint64_t Part, TimePoint Now) const;
   Entry &entryOf(std::uint64_t Part);
   void findExplained();
 
@@ -125,6 +134,10 @@
   Parts m_answered;
   Parts m_answeredBefore;
   TimePoint m_answeredSince{}; ///< When m_answered was begun.
+  /// Requests that were sent from here and have not ended; none is 0.
+  std::unordered_map<std::uint64_t, unsigned> m_running;
+  unsigned m_turnIndex = 0; ///< This VM's turn, of m_turnCount.
+  unsigned m_turnCount = 1;
   std::vector<PartStrike> m_outgoing;
   std::unordered_set<std::uint64_t> m_explained;
   std::uint64_t m_version = 0;
--- a/src/libadmission/partsuspects.cpp
+++ b/src/libadmission/partsuspects.cpp
@@ -26,11 +26,13 @@
   if (Options.m_ends == 0 || Options.m_requests == 0 ||
       Options.m_refusal.count() <= 0 ||
       Options.m_maxRefusal < Options.m_refusal ||
-      Options.m_answerLifetime.count() <= 0 || Options.m_settle.count() < 0)
-    return makeError(ErrorKind::InvalidArgument,
-                     "counts or times of suspected parts are not positive; set "
-                     "at least 1 end, 1 request and 1 s, and a longest refusal "
-                     "that is not below the first");
+      Options.m_answerLifetime.count() <= 0 || Options.m_settle.count() < 0 ||
+      Options.m_turn.count() <= 0 || Options.m_turns == 0)
+    return makeError(
+        ErrorKind::InvalidArgument,
+        "counts or times of suspected parts are not positive; set "
+        "at least 1 end, 1 request, 1 turn and 1 s, and a longest refusal "
+        "that is not below the first");
   return PartSuspects(Options);
 }
 
@@ -207,15 +209,41 @@
   return It == Parts.end() ? nullptr : &*It;
 }
 
+bool PartSuspects::partMayStart(std::uint64_t Part, TimePoint Now) const {
+  const auto It = m_entries.find(Part);
+  if (It == m_entries.end() ||
+      It->second.m_crashes.size() + 1 < m_options.m_ends)
+    return true;
+  const Duration Since = Now - It->second.m_lastStrike - m_options.m_settle;
+  if (Since < Duration::zero() || m_running.count(Part) != 0)
+    return false;
+  return Since / m_options.m_turn % m_turnCount == m_turnIndex;
+}
+
 bool PartSuspects::mayStart(const std::vector<std::uint64_t> &Parts,
                             TimePoint Now) const {
-  return std::none_of(
-      Parts.begin(), Parts.end(), [this, Now](std::uint64_t Part) {
-        const auto It = m_entries.find(Part);
-        return It != m_entries.end() &&
-               It->second.m_crashes.size() + 1 >= m_options.m_ends &&
-               Now - It->second.m_lastStrike < m_options.m_settle;
-      });
+  return std::all_of(
+      Parts.begin(), Parts.end(),
+      [this, Now](std::uint64_t Part) { return partMayStart(Part, Now); });
+}
+
+void PartSuspects::onStarted(const std::vector<std::uint64_t> &Parts) {
+  for (const std::uint64_t Part : Parts)
+    ++m_running[Part];
+}
+
+void PartSuspects::onEnded(const std::vector<std::uint64_t> &Parts) {
+  for (const std::uint64_t Part : Parts) {
+    const auto It = m_running.find(Part);
+    if (It != m_running.end() && --It->second == 0)
+      m_running.erase(It);
+  }
+}
+
+void PartSuspects::setTurn(std::size_t Index, std::size_t Count) {
+  m_turnCount = static_cast<unsigned>(
+      std::clamp<std::size_t>(Count, 1, m_options.m_turns));
+  m_turnIndex = static_cast<unsigned>(Index % m_turnCount);
 }
 
 /// Finds out again which crashes have a part as their cause.
--- a/src/libadmission/partsuspects_test.cpp
+++ b/src/libadmission/partsuspects_test.cpp
@@ -164,6 +164,50 @@
       S.mayStart({Shared, Part}, Start + PartSuspectOptions().m_settle));
 }
 
+// Guards against several requests with a part that end as many endpoints at
+// once, because they waited for the same moment.
+TEST(PartSuspects, PartWithTwoEndsRunsOneByOne) {
+  const PartSuspectOptions Options;
+  PartSuspects S = parts();
+  S.onStarted({Shared, Part}); // It began before the strikes.
+  strikeTimes(S, 2, Start);
+  const TimePoint Settled = Start + Options.m_settle;
+  EXPECT_FALSE(S.mayStart({Part}, Settled));
+  S.onEnded({Shared, Part});
+  EXPECT_TRUE(S.mayStart({Part}, Settled));
+  S.onStarted({Part});
+  EXPECT_FALSE(S.mayStart({Part}, Settled));
+  EXPECT_TRUE(S.mayStart({Shared}, Settled));
+  S.onEnded({Part});
+  S.setTurn(3, 9);
+  const TimePoint Mine = Settled + 3 * Options.m_turn;
+  EXPECT_FALSE(S.mayStart({Part}, Mine - Milliseconds(1)));
+  EXPECT_TRUE(S.mayStart({Part}, Mine));
+  EXPECT_FALSE(S.mayStart({Part}, Mine + Options.m_turn));
+  EXPECT_TRUE(S.mayStart({Part}, Mine + Options.m_turns * Options.m_turn));
+}
+
+// Guards against a VM of a large fleet that never has a turn, and against one
+// of two that has it at the same time as the other.
+TEST(PartSuspects, EachVmHasItsTurn) {
+  const PartSuspectOptions Options;
+  for (const std::size_t Count : {1, 2, 9, 200})
+    for (std::size_t Index = 0; Index < Count; ++Index) {
+      PartSuspects S = parts();
+      S.setTurn(Index, Count);
+      strikeTimes(S, 2, Start);
+      unsigned Turns = 0;
+      for (unsigned I = 0; I < Options.m_turns; ++I)
+        Turns +=
+            S.mayStart({Part}, Start + Options.m_settle + I * Options.m_turn)
+                ? 1
+                : 0;
+      EXPECT_EQ(Turns,
+                Options.m_turns / std::min<std::size_t>(Count, Options.m_turns))
+          << Index << " of " << Count;
+    }
+}
+
 // Guards against LOST: requests that ran beside a deadly part keep the strikes
 // of its ends, wait apart or are refused.
 TEST(PartSuspects, PartExplainsStrikesOfRequests) {
--- a/src/libgateway/exchange.cpp
+++ b/src/libgateway/exchange.cpp
@@ -117,8 +117,10 @@
 /// Ends an attempt's use of its endpoint.
 void Exchange::releaseEndpoint(Attempt &A, TimePoint Now) {
   A.m_counted = false;
-  if (A.m_running)
+  if (A.m_running) {
     m_core.m_suspects.onEnded(m_fingerprint, A.m_choice.m_endpoint);
+    m_core.m_suspects.parts().onEnded(m_promptParts);
+  }
   m_core.release(A.m_choice.m_endpoint, m_query, A.m_placedBy, A.m_prefillDone,
                  Now);
   if (A.m_placedBy == PlacedBy::Coordinator)
--- a/src/libgateway/exchangeattempt.cpp
+++ b/src/libgateway/exchangeattempt.cpp
@@ -267,6 +267,7 @@
   if (E->m_keptUntil)
     m_core.m_metrics->count("sent_to_lapsed_endpoint");
   m_core.m_suspects.onStarted(m_fingerprint, m_attempt.m_choice.m_endpoint);
+  m_core.m_suspects.parts().onStarted(m_promptParts);
   m_attempt.m_running = true;
   m_attempt.m_incarnation = E->m_record.m_incarnation;
   m_attempt.m_address = Address;
--- a/src/libgateway/peers.cpp
+++ b/src/libgateway/peers.cpp
@@ -51,12 +51,22 @@
   return boost::outcome_v2::success();
 }
 
+/// Members whose names come before that of this VM.
+std::size_t Peers::indexAmong(const std::vector<Member> &Members) const {
+  return static_cast<std::size_t>(
+      std::count_if(Members.begin(), Members.end(), [this](const Member &M) {
+        return M.m_name < m_core.m_settings.m_vm;
+      }));
+}
+
 void Peers::setMembers(const std::vector<Member> &Members) {
   const bool WasCoordinator = m_audience.isCoordinator();
   const bool WasLarge = m_audience.isLarge();
   m_audience.setMembers(Members);
   m_core.m_gatewayCount =
       static_cast<unsigned>(m_audience.members().size() + 1);
+  m_core.m_suspects.parts().setTurn(indexAmong(m_audience.members()),
+                                    m_core.m_gatewayCount);
   m_core.m_chooserCount =
       m_audience.isLarge() && m_audience.isCoordinator()
           ? static_cast<unsigned>(m_audience.coordinatorCount())
--- a/src/libgateway/peers.h
+++ b/src/libgateway/peers.h
@@ -83,6 +83,7 @@
   std::uint64_t bytesSent() const { return m_bytesSent; }
 
 private:
+  std::size_t indexAmong(const std::vector<Member> &Members) const;
   PeerReport localReport(std::uint64_t LeaderToken, TimePoint Now);
   void apply(const PeerReport &Report, TimePoint Now);
   void onLoadChanged(const std::string &Endpoint);
