--- a/src/include/primroseworks/partsuspects.h
+++ b/src/include/primroseworks/partsuspects.h
@@ -99,6 +99,9 @@
   bool explains(std::uint64_t Crash) const {
     return m_explained.count(Crash) > 0;
   }
+  /// Whether a part has nearly enough ends among Crashes, but not yet the last
+  /// of them.
+  bool mayExplainLast(const std::vector<std::uint64_t> &Crashes) const;
   /// Changes when the result of explains() may have changed.
   std::uint64_t version() const { return m_version; }
   /// All parts with ends, the worst first.
--- a/src/include/primroseworks/suspects.h
+++ b/src/include/primroseworks/suspects.h
@@ -54,7 +54,9 @@
 /// not restrict those with fewer; its suspicion is the strikes that remain.
 ///
 /// A crash that is explained by a part of a prompt (PartSuspects) is none of a
-/// fingerprint: its strike counts nowhere below.
+/// fingerprint: its strike counts nowhere below. If a part shares all crashes
+/// of a fingerprint but the last one, the fingerprint is not refused within
+/// m_settle of it: the part's strike may be on its way.
 ///
 /// A fingerprint is refused once it has m_strikes and one of its crashes has no
 /// other suspect with as many: of several that always crashed together, each
@@ -156,7 +158,7 @@
   /// Strikes of crashes that no part of a prompt explains.
   std::size_t openStrikes(const Entry &E) const;
   unsigned suspicionOf(const Entry &E);
-  bool isRefused(const Entry &E);
+  bool isRefused(const Entry &E, TimePoint Now);
   void findWorst();
   /// Whether a suspect other than those held here with a suspicion of one
   /// competes for endpoints.
--- a/src/libadmission/partsuspects.cpp
+++ b/src/libadmission/partsuspects.cpp
@@ -255,6 +255,19 @@
       m_explained.insert(E.m_crashes.begin(), E.m_crashes.end());
 }
 
+bool PartSuspects::mayExplainLast(
+    const std::vector<std::uint64_t> &Crashes) const {
+  return std::any_of(
+      m_entries.begin(), m_entries.end(), [&](const auto &Known) {
+        const std::vector<std::uint64_t> &Ends = Known.second.m_crashes;
+        const auto Shared = static_cast<std::size_t>(std::count_if(
+            Crashes.begin(), Crashes.end(),
+            [&Ends](std::uint64_t Crash) { return contains(Ends, Crash); }));
+        return Shared + 1 >= m_options.m_ends &&
+               !contains(Ends, Crashes.back());
+      });
+}
+
 std::vector<PartSuspectState> PartSuspects::list(TimePoint Now) const {
   std::vector<PartSuspectState> Out;
   for (const auto &[Part, E] : m_entries)
--- a/src/libadmission/partsuspects_test.cpp
+++ b/src/libadmission/partsuspects_test.cpp
@@ -233,6 +233,24 @@
   EXPECT_EQ(S.suspicion(50, Start), 0U); // Others have more strikes.
 }
 
+// Guards against LOST: a request that many callers send is refused since it ran
+// at the third end as well, a moment before that end is known as the part's.
+TEST(PartSuspects, RequestIsNotRefusedBeforeThePartsStrikeArrives) {
+  CrashSuspects S = std::move(CrashSuspects::create({})).value();
+  const Milliseconds Settle = SuspectOptions().m_settle;
+  for (std::uint64_t Crash : {1, 2}) {
+    S.strike(7, Crash, Start);
+    S.parts().strike({Part, Crash, Crash, Start}, Start);
+  }
+  S.strike(7, 3, Start);
+  EXPECT_FALSE(S.refused(7, Start));
+  EXPECT_FALSE(S.mayRun(7, "e", Start));
+  EXPECT_TRUE(S.refused(7, Start + Settle));
+  S.parts().strike({Part, 3, 3, Start}, Start);
+  EXPECT_FALSE(S.refused(7, Start + Settle));
+  EXPECT_TRUE(S.mayRun(7, "e", Start + Settle));
+}
+
 // Guards against memory that parts named by callers exhaust, and against
 // refusals that such a flood ends.
 TEST(PartSuspects, MemoryIsBounded) {
--- a/src/libadmission/suspects.cpp
+++ b/src/libadmission/suspects.cpp
@@ -131,7 +131,7 @@
   std::vector<std::pair<std::uint64_t, std::uint64_t>> Out;
   expire(Now);
   for (auto &[Fingerprint, E] : m_entries) {
-    const bool Refused = isRefused(E);
+    const bool Refused = isRefused(E, Now);
     const bool Recent = Now - E.m_lastStrike < m_options.m_refusalRepeat;
     const bool Held = m_held.count(Fingerprint) != 0 && suspicionOf(E) > 1;
     if (Refused ? !(E.m_own && Recent) : !Held)
@@ -205,10 +205,14 @@
       }));
 }
 
-bool CrashSuspects::isRefused(const Entry &E) {
+bool CrashSuspects::isRefused(const Entry &E, TimePoint Now) {
   const std::size_t Strikes = openStrikes(E);
   if (Strikes < m_options.m_strikes)
     return false;
+  // The strike of a part that caused this crash, too, may be on its way.
+  if (Now - E.m_lastStrike < m_options.m_settle &&
+      m_parts.mayExplainLast(E.m_crashes))
+    return false;
   findWorst();
   return std::any_of(
       E.m_crashes.begin(), E.m_crashes.end(), [&](std::uint64_t Crash) {
@@ -220,7 +224,7 @@
 
 bool CrashSuspects::refused(std::uint64_t Fingerprint, TimePoint Now) {
   return strikes(Fingerprint, Now) >= m_options.m_strikes &&
-         isRefused(m_entries.at(Fingerprint));
+         isRefused(m_entries.at(Fingerprint), Now);
 }
 
 void CrashSuspects::onRefused(std::uint64_t Fingerprint) {
@@ -240,7 +244,7 @@
   for (const auto &[Fingerprint, E] : m_entries)
     if (!E.m_crashes.empty() && Now - E.m_lastStrike < m_options.m_refusal)
       Out.push_back({Fingerprint, static_cast<unsigned>(E.m_crashes.size()),
-                     suspicionOf(E), isRefused(E),
+                     suspicionOf(E), isRefused(E, Now),
                      remaining(Fingerprint, Now)});
   std::sort(Out.begin(), Out.end(),
             [](const SuspectState &A, const SuspectState &B) {
@@ -273,7 +277,7 @@
 bool CrashSuspects::competes(std::uint64_t Fingerprint, const Entry &E,
                              unsigned Suspicion, TimePoint Now) {
   if (Suspicion == 0 || Now - E.m_lastHeard >= m_options.m_contention ||
-      isRefused(E))
+      isRefused(E, Now))
     return false;
   // One with two strikes may run from several daemons, because its caller
   // sends it again through all of them: it competes also if it is held here.
--- a/src/libgateway/core.cpp
+++ b/src/libgateway/core.cpp
@@ -206,6 +206,7 @@
   for (const BrokenRequest &Broken : End.m_requests) {
     const std::uint64_t Fingerprint = Broken.m_fingerprint;
     const unsigned Strikes = m_suspects.strike(Fingerprint, Crash, Now);
+    strikeParts(End, Broken, Crash, Now);
     m_metrics->count("crash_strike");
     decisionlog::line(LogClass::Failure, "crash_strike")
         .hex("fingerprint", Fingerprint)
@@ -217,7 +218,6 @@
         .number("strikes", Strikes)
         .number("suspicion", m_suspects.suspicion(Fingerprint, Now))
         .number("refused", m_suspects.refused(Fingerprint, Now) ? 1 : 0);
-    strikeParts(End, Broken, Crash, Now);
     if (m_suspects.refused(Fingerprint, Now))
       notifyRefusal(Now);
   }
