--- a/testsuite/soak/callers.cpp
+++ b/testsuite/soak/callers.cpp
@@ -212,11 +212,13 @@
 }
 
 asio::awaitable<unsigned> Callers::probe(std::string Address, std::string Path,
-                                         char Prefix) {
+                                         char Prefix, std::string Artifact,
+                                         std::string PromptPart) {
   const std::string Id = Prefix + std::to_string(++m_next);
   m_check.onSent(Id, Work::Read);
   gateway::ConnectionPool Pool(m_io);
-  const std::string Request = soakRequest(Path, Id, "", DeadlineMs);
+  const std::string Request =
+      soakRequest(Path, Id, Artifact, DeadlineMs, PromptPart);
   Result<gateway::HttpClientResponse> Answer = co_await gateway::callHttp(
       m_io, Pool, "probe", Address, Request, Patience);
   co_return Answer ? Answer.value().m_head.m_status : 0;
--- a/testsuite/soak/callers.h
+++ b/testsuite/soak/callers.h
@@ -42,9 +42,10 @@
   bool m_calm = false;
 
   /// Status of one request for Path at a gateway; 0 without an answer. Its id
-  /// begins with Prefix.
+  /// begins with Prefix, its prompt has PromptPart.
   asio::awaitable<unsigned> probe(std::string Address, std::string Path,
-                                  char Prefix = 'p');
+                                  char Prefix = 'p', std::string Artifact = "",
+                                  std::string PromptPart = "");
 
 private:
   using Socket = asio::ip::tcp::socket;
--- a/testsuite/soak/faults.cpp
+++ b/testsuite/soak/faults.cpp
@@ -110,7 +110,7 @@
           restartEngine(*E);
           Link->setState(LinkState::Up);
         },
-        Milliseconds(300 + draw(1200))));
+        Milliseconds(300 + m_partRandom() % 1200)));
   }
 }
 
--- a/testsuite/soak/soak.cpp
+++ b/testsuite/soak/soak.cpp
@@ -43,7 +43,9 @@
 constexpr double ContinuationErrors = 0.3;
 /// First letter of the ids of requests that end the endpoints which run them.
 constexpr char CrashingPrefix = 'g';
-/// Copies of such a request at once, and times that they are sent.
+/// The same of requests with a part of a prompt that ends endpoints.
+constexpr char CrashingPartPrefix = 'x';
+/// Such requests at once, and times that they are sent.
 constexpr unsigned CrashingCopies = 2;
 constexpr unsigned CrashingRounds = 12;
 constexpr milliseconds CrashingPause{300};
@@ -59,7 +61,8 @@
 } // namespace
 
 Soak::Soak(SoakOptions Options)
-    : m_options(std::move(Options)), m_random(m_options.m_seed), m_store(m_io) {
+    : m_options(std::move(Options)), m_random(m_options.m_seed), m_store(m_io),
+      m_partRandom(m_options.m_seed) {
   std::filesystem::create_directories(m_options.m_folder);
   m_baseFaults.m_silenceProbability = BaseSilences;
   const std::string Net =
@@ -75,7 +78,7 @@
     const auto OnRun = [this](const std::string &Id, const std::string &At,
                               bool Draining) {
       m_check.onRun(Id, At);
-      if (Id[0] == CrashingPrefix)
+      if (Id[0] == CrashingPrefix || Id[0] == CrashingPartPrefix)
         endUnderRequest(At);
       if (Draining && m_drainOver)
         m_check.violation(Id + " ran at " + At + ", which drains");
@@ -211,36 +214,56 @@
   restartEngine(E);
 }
 
-asio::awaitable<void> Soak::sendCrashingRequest(std::string Address) {
-  (void)co_await m_callers->probe(Address, "/read/crash", CrashingPrefix);
+asio::awaitable<unsigned> Soak::sendCrashing(std::string Address, char Prefix) {
+  if (Prefix == CrashingPrefix)
+    co_return co_await m_callers->probe(Address, "/read/crash", Prefix);
+  const std::string Path = "/stream/x" + std::to_string(++m_crashingPaths);
+  co_return co_await m_callers->probe(Address, Path, Prefix, "m1",
+                                      m_deadlyPart);
 }
 
-/// A request that ends each endpoint which runs it is stopped by all gateways,
-/// and no other one is refused with it.
-asio::awaitable<void> Soak::checkCrashingRequest() {
+asio::awaitable<void> Soak::startCrashing(std::string Address, char Prefix) {
+  (void)co_await sendCrashing(Address, Prefix);
+}
+
+/// Sends requests with a part that ends endpoints while faults are in force.
+asio::awaitable<void> Soak::sendDeadlyParts() {
+  while (m_sendingDeadlyParts) {
+    co_await pause(Milliseconds(200 + m_partRandom() % 1500));
+    const auto Index = m_partRandom() % m_gateways.size();
+    start(
+        startCrashing(m_gateways[Index]->callerAddress(), CrashingPartPrefix));
+  }
+}
+
+/// A request, or a part of a prompt, that ends each endpoint which runs it is
+/// stopped by all gateways, and nothing else is refused with it.
+asio::awaitable<void> Soak::checkCrashing(char Prefix) {
+  m_endedUnderRequest.clear();
   const auto Gateway = [this](unsigned I) {
     return m_gateways[I % m_gateways.size()]->callerAddress();
   };
   for (unsigned Round = 0; Round < CrashingRounds; ++Round) {
     for (unsigned Copy = 0; Copy < CrashingCopies; ++Copy)
-      start(sendCrashingRequest(Gateway(Round + Copy)));
+      start(startCrashing(Gateway(Round + Copy), Prefix));
     co_await pause(CrashingPause);
   }
   while (m_faultsInForce > 0)
     co_await pause(Milliseconds(20));
-  note(fmt::format("{} endpoints ended under one request",
-                   m_endedUnderRequest.size()));
-  if (m_endedUnderRequest.size() > MaxEnds + CrashingCopies - 1)
-    m_check.violation(fmt::format("{} endpoints ended under one request",
-                                  m_endedUnderRequest.size()));
+  const std::string Ended = fmt::format("{} endpoints ended under requests {}",
+                                        m_endedUnderRequest.size(), Prefix);
+  note(Ended);
+  const unsigned Copies =
+      Prefix == CrashingPrefix ? CrashingCopies - 1 : CrashingCopies;
+  if (m_endedUnderRequest.size() > MaxEnds + Copies)
+    m_check.violation(Ended);
   for (const auto &P : m_gateways) {
     const std::string Address = P->callerAddress();
-    const unsigned Status =
-        co_await m_callers->probe(Address, "/read/crash", CrashingPrefix);
+    const unsigned Status = co_await sendCrashing(Address, Prefix);
     if (Status != 503)
       m_check.violation(
-          fmt::format("{} answers {} to a request that ended endpoints",
-                      P->name(), Status));
+          fmt::format("{} answers {} to a request {} that ends endpoints",
+                      P->name(), Status, Prefix));
   }
 }
 
@@ -284,10 +307,16 @@
   co_await pause(Milliseconds(1500));
   m_callers->start(m_options.m_callers);
   co_await pause(Milliseconds(1000));
+  m_sendingDeadlyParts = true;
+  start(sendDeadlyParts());
   co_await injectFaults();
+  m_sendingDeadlyParts = false;
   note("all faults are over");
   co_await checkRecovery();
-  co_await checkCrashingRequest();
+  co_await checkCrashing(CrashingPrefix);
+  co_await checkRecovery();
+  m_deadlyPart = "dead2"; // The faults may have refused the other one.
+  co_await checkCrashing(CrashingPartPrefix);
   co_await checkRecovery();
   co_await checkEndlessResponses();
   co_await checkRecovery();
--- a/testsuite/soak/soak.h
+++ b/testsuite/soak/soak.h
@@ -54,10 +54,12 @@
   asio::awaitable<void> checkConfiguration();
   asio::awaitable<void> checkDrain();
   asio::awaitable<void> checkRollingStop();
-  asio::awaitable<void> checkCrashingRequest();
+  asio::awaitable<void> checkCrashing(char Prefix);
   asio::awaitable<void> checkEndlessResponses();
   asio::awaitable<void> sendProbe(std::string Address);
-  asio::awaitable<void> sendCrashingRequest(std::string Address);
+  asio::awaitable<unsigned> sendCrashing(std::string Address, char Prefix);
+  asio::awaitable<void> sendDeadlyParts();
+  asio::awaitable<void> startCrashing(std::string Address, char Prefix);
   asio::awaitable<void> pause(Milliseconds Time);
 
   Clock::time_point lastLinkFault(const std::string &Endpoint) const;
@@ -98,8 +100,14 @@
   unsigned m_extraRoutes = 0;
   Milliseconds m_idleTimeout{4000}; ///< Of the newest configuration.
   unsigned m_oddEntries = 0;
-  /// Ids of the endpoints that ended under the request which ends them.
+  /// Ids of the endpoints that ended under the request, or the part of a
+  /// prompt, which ends them.
   std::set<std::string> m_endedUnderRequest;
+  std::string m_deadlyPart = "dead1"; ///< Of prompts.
+  /// Draws what follows such requests; the other draws stay those of the seed.
+  std::mt19937_64 m_partRandom;
+  bool m_sendingDeadlyParts = false;
+  unsigned m_crashingPaths = 0; ///< No two requests with it are alike.
   /// Of endpoints without a drawn fault.
   platform::testing::EngineFaults m_baseFaults;
   int m_faultsInForce = 0;
