--- a/src/primrose-gateway/main.cpp
+++ b/src/primrose-gateway/main.cpp
@@ -63,8 +63,10 @@
 
 int main(int Argc, char **Argv) {
   std::signal(SIGPIPE, SIG_IGN);
-  // Until the gateway handles it, nothing is in progress.
+  // Until the gateway handles them, nothing is in progress, and changed
+  // settings are read in any case.
   std::signal(SIGTERM, [](int) { _exit(0); });
+  std::signal(SIGHUP, SIG_IGN);
   options::options_description Options("primrose-gateway --settings FILE");
   Options.add_options()("help", "print this help and exit")(
       "settings", options::value<std::string>(), "settings file (YAML)")(
