--- a/src/libgateway/attempt.h
+++ b/src/libgateway/attempt.h
@@ -43,6 +43,19 @@
      {AttemptOutcome::Suspect, "suspect"},
      {AttemptOutcome::CallerGone, "caller_gone"}}};
 
+/// Why a silent attempt was left for good.
+enum class SilenceEnd {
+  OtherAnswered,   ///< An event of another endpoint arrived.
+  OtherHasRequest, ///< Another endpoint got the request.
+  OtherSilent,     ///< Another endpoint with the request is silent, too.
+  RequestEnded     ///< The request was answered or given up.
+};
+inline constexpr NameTable<SilenceEnd, 4> SilenceEndNames = {
+    {{SilenceEnd::OtherAnswered, "other_answered"},
+     {SilenceEnd::OtherHasRequest, "other_has_request"},
+     {SilenceEnd::OtherSilent, "other_silent"},
+     {SilenceEnd::RequestEnded, "request_ended"}}};
+
 /// Timeout for opening a connection to an endpoint.
 inline constexpr Milliseconds EndpointConnectTimeout{400};
 /// A connection to an endpoint is closed if the TCP stack at its other end has
@@ -92,6 +105,8 @@
   std::string m_address;                 ///< Of the endpoint.
   ConnectionPtr m_connection;            ///< Null before it is sent.
   TimePoint m_sentAt{};
+  TimePoint m_silentSince{}; ///< If it was set aside: its latest event, or when
+                             ///< it was sent.
   /// The request was sent completely, so the attempt can be resumed.
   bool m_sent = false;
   MemoryClaimPtr m_memory; ///< For what follows, and for the connection.
--- a/src/libgateway/exchange.cpp
+++ b/src/libgateway/exchange.cpp
@@ -143,7 +143,7 @@
   }
   m_core.m_refusalListeners.erase(this);
   const TimePoint Now = clockNow();
-  endSilentAttempt(Now);
+  endSilentAttempt(SilenceEnd::RequestEnded, Now);
   if (m_callerGone && m_outcome.empty()) {
     m_outcome = "caller_gone";
     m_reason = "caller_closed_its_connection";
@@ -162,7 +162,7 @@
     m_attempt.m_connection->close();
   if (m_attempt.m_counted)
     releaseEndpoint(m_attempt, Now);
-  endSilentAttempt(Now);
+  endSilentAttempt(SilenceEnd::RequestEnded, Now);
   withdrawWait();
   m_mayHaveRun = m_mayHaveRun || attemptsThatMayHaveRun() > 0;
   co_return !m_callerGone && co_await fail("internal_error");
@@ -547,6 +547,8 @@
   const Duration FirstByte = m_firstByteAt == TimePoint{}
                                  ? Duration::zero()
                                  : m_firstByteAt - m_arrivedAt;
+  if (m_silences > 0 && !Good && !m_callerGone)
+    m_core.m_metrics->count("answer_lost_after_silence");
   const std::string Kind =
       m_route ? std::string(nameOf(RouteKindNames, m_route->m_kind)) : "none";
   const unsigned Rank = m_route ? m_route->m_rank : 0;
@@ -571,6 +573,7 @@
       .number("load", m_attempt.m_choice.m_load)
       .number("candidates", m_attempt.m_choice.m_candidates)
       .number("sends", m_sentAttempts)
+      .number("silences", m_silences)
       .real("waited_ms", toMillis(m_waited))
       .real("first_ms", toMillis(FirstByte))
       .real("pause_ms", toMillis(m_longestEventGap))
--- a/src/libgateway/exchange.h
+++ b/src/libgateway/exchange.h
@@ -72,7 +72,7 @@
   void onAttemptTimeout(TimePoint Now);
   bool canResume(AttemptOutcome Outcome) const;
   void endAttempt(AttemptOutcome Outcome, TimePoint Now);
-  void endSilentAttempt(TimePoint Now);
+  void endSilentAttempt(SilenceEnd Why, TimePoint Now);
   void onSilentAttemptTimeout(TimePoint Now);
   asio::awaitable<Result<void>> readMore(ConnectionPtr C);
   bool claimMemory(const Connection &C);
@@ -162,6 +162,7 @@
   unsigned m_refusedAttempts = 0;
   /// An attempt ended without a statement that it did not run.
   bool m_mayHaveRun = false;
+  unsigned m_silences = 0;  ///< Attempts that were set aside.
   bool m_committed = false; ///< The response head was sent to the caller.
   /// Latest event that was sent to the caller.
   std::optional<std::uint64_t> m_lastEventId;
--- a/src/libgateway/exchangeattempt.cpp
+++ b/src/libgateway/exchangeattempt.cpp
@@ -353,8 +353,11 @@
   if (Outcome != AttemptOutcome::Delivered)
     m_query.m_excluded.push_back(m_attempt.m_choice.m_endpoint);
   if (canResume(Outcome)) {
-    endSilentAttempt(Now);
+    endSilentAttempt(SilenceEnd::OtherSilent, Now);
     m_silentAttempt = std::move(m_attempt);
+    m_silentAttempt->m_silentSince =
+        std::max(m_silentAttempt->m_sentAt, m_silentAttempt->m_lastEventsAt);
+    ++m_silences;
     m_attempt = Attempt();
     return;
   }
@@ -373,7 +376,7 @@
   const bool WentOn =
       m_silentAttempt && m_silentAttempt->m_connection->inputWaiting();
   if (!WentOn || !Next || Next->responseStarted()) {
-    endSilentAttempt(Now);
+    endSilentAttempt(SilenceEnd::OtherHasRequest, Now);
     return;
   }
   m_superseded = true;
@@ -381,12 +384,22 @@
 }
 
 /// Leaves the endpoint of the silent attempt for good.
-void Exchange::endSilentAttempt(TimePoint Now) {
+void Exchange::endSilentAttempt(SilenceEnd Why, TimePoint Now) {
   m_silentAttemptTimer.disarm();
   if (!m_silentAttempt)
     return;
   Attempt Ended = std::move(*m_silentAttempt);
   m_silentAttempt.reset();
+  const bool WentOn = Ended.m_connection->inputWaiting();
+  m_core.m_metrics->count("silent_attempt_left");
+  decisionlog::line(LogClass::Failure, "silent_attempt_left")
+      .text("id", m_requestMetadata.m_id)
+      .text("endpoint", Ended.m_choice.m_endpoint)
+      .text("next", m_attempt.m_choice.m_endpoint)
+      .text("reason", nameOf(SilenceEndNames, Why))
+      .real("silent_ms", toMillis(Now - Ended.m_silentSince))
+      .number("went_on", WentOn ? 1 : 0)
+      .number("sends", m_sentAttempts);
   Ended.m_connection->close();
   releaseEndpoint(Ended, Now);
 }
@@ -400,6 +413,8 @@
   decisionlog::line(LogClass::Failure, "silent_attempt_resumed")
       .text("id", m_requestMetadata.m_id)
       .text("endpoint", m_attempt.m_choice.m_endpoint)
+      .real("silent_ms", toMillis(clockNow() - m_attempt.m_silentSince))
+      .number("went_on", m_attempt.m_connection->inputWaiting() ? 1 : 0)
       .number("sends", m_sentAttempts);
   limitAttempt(std::min<TimePoint>(m_deadline + DeadlineGrace,
                                    clockNow() + StreamStallTimeout));
--- a/src/libgateway/exchangestream.cpp
+++ b/src/libgateway/exchangestream.cpp
@@ -76,7 +76,7 @@
 /// one that was left for it is not needed.
 void Exchange::recordEvents(TimePoint Now) {
   m_failover.reset();
-  endSilentAttempt(Now);
+  endSilentAttempt(SilenceEnd::OtherAnswered, Now);
   if (!m_attempt.m_prefillDone)
     recordFirstEvent();
   else
