--- a/src/libgateway/attempt.h
+++ b/src/libgateway/attempt.h
@@ -24,7 +24,7 @@
   Overrun,      ///< More bytes than a response or an event may have.
   MemoryShort,  ///< Cut, since this process holds too much.
   Silent,       ///< No response, or no further event, before the timeout.
-  Superseded,   ///< Given up, since the silent endpoint before it went on.
+  Superseded,   ///< Set aside or not sent, since a silent endpoint went on.
   Suspect,      ///< Given up, since a part of its prompt was refused.
   CallerGone    ///< The caller closed its connection.
 };
@@ -45,15 +45,11 @@
 
 /// Why a silent attempt was left for good.
 enum class SilenceEnd {
-  OtherAnswered,   ///< An event of another endpoint arrived.
-  OtherHasRequest, ///< Another endpoint got the request.
-  OtherSilent,     ///< Another endpoint with the request is silent, too.
-  RequestEnded     ///< The request was answered or given up.
+  OtherAnswered, ///< An event, or a whole response, of another one arrived.
+  RequestEnded   ///< The request was answered or given up.
 };
-inline constexpr NameTable<SilenceEnd, 4> SilenceEndNames = {
+inline constexpr NameTable<SilenceEnd, 2> SilenceEndNames = {
     {{SilenceEnd::OtherAnswered, "other_answered"},
-     {SilenceEnd::OtherHasRequest, "other_has_request"},
-     {SilenceEnd::OtherSilent, "other_silent"},
      {SilenceEnd::RequestEnded, "request_ended"}}};
 
 /// Timeout for opening a connection to an endpoint.
@@ -89,11 +85,8 @@
 /// A crash suspect that may not run at an endpoint is looked at again after
 /// this time.
 inline constexpr Milliseconds SuspectCheckInterval{50};
-/// A silent attempt is kept for this long after the request was sent to another
-/// endpoint, which usually refuses sooner if it does not take it. If its
-/// endpoint has gone on by then and the other one has not answered, the request
-/// goes on there.
-inline constexpr Milliseconds SilentAttemptLifetime{300};
+/// Interval between looks whether a silent endpoint has gone on.
+inline constexpr Milliseconds SilenceCheckInterval{50};
 
 /// State of one attempt. It can be set aside and resumed while its connection
 /// is open.
--- a/src/libgateway/exchange.cpp
+++ b/src/libgateway/exchange.cpp
@@ -58,15 +58,15 @@
                    std::string Body, TimePoint Arrived)
     : m_core(Shared), m_callerSocket(Caller), m_head(std::move(Head)),
       m_body(std::move(Body)), m_arrivedAt(Arrived), m_waitTimer(Shared.m_io),
-      m_attemptTimer(Shared.m_io), m_silentAttemptTimer(Shared.m_io) {}
+      m_attemptTimer(Shared.m_io), m_silenceWatch(Shared.m_io) {}
 
 void Exchange::onCallerGone() {
   m_callerGone = true;
   m_waitTimer.cancel();
   if (m_attempt.m_connection)
     m_attempt.m_connection->close();
-  if (m_silentAttempt)
-    m_silentAttempt->m_connection->close();
+  for (const Attempt &A : m_silentAttempts)
+    A.m_connection->close();
 }
 
 void Exchange::onProcessEnding() {
@@ -143,7 +143,7 @@
   }
   m_core.m_refusalListeners.erase(this);
   const TimePoint Now = clockNow();
-  endSilentAttempt(SilenceEnd::RequestEnded, Now);
+  endSilentAttempts(SilenceEnd::RequestEnded, Now);
   if (m_callerGone && m_outcome.empty()) {
     m_outcome = "caller_gone";
     m_reason = "caller_closed_its_connection";
@@ -162,7 +162,7 @@
     m_attempt.m_connection->close();
   if (m_attempt.m_counted)
     releaseEndpoint(m_attempt, Now);
-  endSilentAttempt(SilenceEnd::RequestEnded, Now);
+  endSilentAttempts(SilenceEnd::RequestEnded, Now);
   withdrawWait();
   m_mayHaveRun = m_mayHaveRun || attemptsThatMayHaveRun() > 0;
   co_return !m_callerGone && co_await fail("internal_error");
@@ -237,25 +237,27 @@
     const TimePoint Begin = clockNow();
     if (m_processEnding)
       co_return co_await fail("stopping");
-    if (Begin >= m_deadline)
+    const bool WentOn = silentEndpointWentOn();
+    if (Begin >= m_deadline && !WentOn)
       co_return co_await fail("time_limit");
     if (wouldBeCut())
       co_return co_await rejectNotRun("stopping");
     const bool Refused = isRefusedSuspect(Begin);
-    if (Refused && !m_silentAttempt)
+    if (Refused && m_silentAttempts.empty())
       co_return co_await rejectSuspect(Begin);
-    const bool Acquired = MaySend && !Refused && co_await acquireEndpoint();
+    const bool Acquired =
+        MaySend && !Refused && !WentOn && co_await acquireEndpoint();
     if (m_callerGone) {
       if (Acquired)
         releaseEndpoint(m_attempt, clockNow());
       co_return false;
     }
     // Its last strike may have ended the wait.
-    if (!Acquired && !m_silentAttempt && isRefusedSuspect(clockNow()))
+    if (!Acquired && m_silentAttempts.empty() && isRefusedSuspect(clockNow()))
       continue;
-    if (!Acquired && !m_silentAttempt && co_await waitHeldBack())
+    if (!Acquired && m_silentAttempts.empty() && co_await waitHeldBack())
       continue;
-    if (!Acquired && !m_silentAttempt)
+    if (!Acquired && m_silentAttempts.empty())
       co_return co_await rejectNotRun(
           std::string("no_endpoint_") +
           std::string(
@@ -269,10 +271,11 @@
       co_return true;
     if (m_callerGone || Outcome == AttemptOutcome::CallerGone)
       co_return false;
-    if (!m_silentAttempt && heldBackTwice(Outcome) && !co_await waitHeldBack())
+    if (m_silentAttempts.empty() && heldBackTwice(Outcome) &&
+        !co_await waitHeldBack())
       co_return !m_callerGone && co_await rejectNotRun("suspect_held_back");
     MaySend = mayTryAgain(Outcome, Now);
-    if (!MaySend && !m_silentAttempt)
+    if (!MaySend && m_silentAttempts.empty())
       co_return co_await finishAfterAttempt(Outcome);
   }
 }
@@ -290,7 +293,7 @@
       Outcome == AttemptOutcome::NotSent)
     return true;
   if (Outcome == AttemptOutcome::HeldBack)
-    return !m_silentAttempt; // It goes on there instead.
+    return m_silentAttempts.empty(); // It goes on there instead.
   if (Outcome == AttemptOutcome::Superseded ||
       Outcome == AttemptOutcome::Suspect)
     return false;
@@ -391,7 +394,7 @@
   // sent to any of them: an endpoint that got the request may have run it.
   m_query.m_mayRevisit = m_sentAttempts == 0;
   // A silent endpoint is left only for one that is available at once.
-  const bool AtOnce = m_silentAttempt.has_value();
+  const bool AtOnce = !m_silentAttempts.empty();
   if (!AtOnce && co_await acquireFromCoordinator())
     co_return m_placed;
   const TimePoint Now = clockNow();
--- a/src/libgateway/exchange.h
+++ b/src/libgateway/exchange.h
@@ -9,6 +9,7 @@
 #include <asio/awaitable.hpp>
 #include <memory>
 #include <string>
+#include <vector>
 
 namespace primroseworks::gateway {
 
@@ -72,8 +73,12 @@
   void onAttemptTimeout(TimePoint Now);
   bool canResume(AttemptOutcome Outcome) const;
   void endAttempt(AttemptOutcome Outcome, TimePoint Now);
-  void endSilentAttempt(SilenceEnd Why, TimePoint Now);
-  void onSilentAttemptTimeout(TimePoint Now);
+  void setAside(AttemptOutcome Outcome);
+  Attempt *attemptOf(const ConnectionPtr &C);
+  std::vector<Attempt>::iterator nextSilentAttempt();
+  void watchSilentAttempts(TimePoint Now);
+  bool silentEndpointWentOn();
+  void endSilentAttempts(SilenceEnd Why, TimePoint Now);
   asio::awaitable<Result<void>> readMore(ConnectionPtr C);
   bool claimMemory(const Connection &C);
   AttemptOutcome cutOutcome(const Connection &C) const;
@@ -138,13 +143,13 @@
   bool m_scheduleDecided = false;
   Attempt m_attempt; ///< The current one; its obstacle if there is none.
   Watchdog m_attemptTimer;
-  /// An attempt that is silent while the request is tried at another endpoint.
-  /// It goes on if that endpoint does not take the request.
-  std::optional<Attempt> m_silentAttempt;
-  /// Armed while the endpoint tried next has the request.
-  Watchdog m_silentAttemptTimer;
-  /// The current attempt is given up, because the silent endpoint went on.
-  bool m_superseded = false;
+  /// Attempts that were left for another endpoint and may still answer, the
+  /// oldest first. They are ended once one attempt has begun an answer that
+  /// goes on, or with the request.
+  std::vector<Attempt> m_silentAttempts;
+  Watchdog m_silenceWatch; ///< Armed while there are any beside m_attempt.
+  /// The current attempt is set aside, because a silent endpoint went on.
+  bool m_givingWay = false;
   /// The current attempt is given up, because a part of the prompt was refused.
   bool m_givenUpAsSuspect = false;
   std::unique_ptr<FailoverProbe> m_failover; ///< While the endpoint is silent.
--- a/src/libgateway/exchangeattempt.cpp
+++ b/src/libgateway/exchangeattempt.cpp
@@ -1,5 +1,4 @@
-// The attempts of a request at endpoints: sending it, reading the response, and
-// leaving an endpoint that is silent.
+// The attempts of a request at endpoints: sending it and reading the response.
 #include "libgateway/exchange.h"
 #include "libgateway/log.h"
 
@@ -12,63 +11,12 @@
 
 constexpr unsigned StatusMisdirected = 421;
 
-/// A body without a stated length counts as arriving if it grows by this much
-/// between two looks; a trickle may go on for ever.
-constexpr std::size_t MinArrivingBytes = 256;
 /// A response without a stated length that is cut for memory shows a fault of
 /// its endpoint from this size on.
 constexpr std::size_t MinOverrunBytes = 1'048'576;
 
-/// Whether a body that had Before bytes at the last look is worth waiting for.
-/// One of stated length is if at its present rate it takes no more than twice
-/// the time that is left.
-bool isArriving(const Attempt &A, std::size_t Before, Duration TimeLeft) {
-  const std::size_t Size = A.m_body.size();
-  if (Size <= Before)
-    return false; // Also if a revoked claim has freed the body.
-  if (Before == 0)
-    return true;
-  const std::size_t New = Size - Before;
-  const std::optional<std::uint64_t> Length =
-      A.m_connection->m_reader.head().m_length;
-  if (!Length)
-    return New >= MinArrivingBytes;
-  const double Looks =
-      static_cast<double>(*Length - Size) / static_cast<double>(New);
-  return toSeconds(FailoverCheckInterval) * Looks <= 2 * toSeconds(TimeLeft);
-}
-
 } // namespace
 
-/// Whether another endpoint takes the request at once; one that a coordinator
-/// granted stays reserved for it. Takes nothing from the retry limit.
-bool Exchange::canFailOver(TimePoint Now) {
-  if (attemptsThatMayHaveRun() >= m_route->m_maxAttempts ||
-      !m_core.retries(m_query.m_service).allows(m_core.m_gatewayCount, Now))
-    return false;
-  ChoiceQuery Query = m_query;
-  Query.m_excluded.push_back(m_attempt.m_choice.m_endpoint);
-  Query.m_mayRevisit = false;
-  if (!m_failover)
-    m_failover = std::make_unique<FailoverProbe>(m_core);
-  return m_failover->poll(Query, Now);
-}
-
-/// Extends an attempt that timed out until another endpoint has capacity for
-/// the request or its deadline has passed: an endpoint that has not responded
-/// for long may still respond. One whose response is arriving is not left.
-Watchdog::Extension Exchange::extendUnlessFailover() {
-  return [this](TimePoint Now) {
-    const TimePoint Latest = m_deadline + DeadlineGrace;
-    const std::size_t Before =
-        std::exchange(m_attempt.m_checkedBodyBytes, m_attempt.m_body.size());
-    const bool Arriving = isArriving(m_attempt, Before, m_deadline - Now);
-    if (Now >= Latest || (!Arriving && canFailOver(Now)))
-      return Now;
-    return std::min<TimePoint>(Latest, Now + FailoverCheckInterval);
-  };
-}
-
 /// The head of the request for the endpoint: hop-by-hop headers are removed and
 /// the gateway's own headers are set for this attempt.
 std::string Exchange::serializeRequestHead(TimePoint Now) const {
@@ -163,6 +111,9 @@
   if (m_attemptTimer.fired())
     co_return makeError(ErrorKind::Timeout,
                         "no response in time; use another endpoint");
+  if (m_givingWay)
+    co_return makeError(ErrorKind::Timeout,
+                        "another endpoint went on; read its response first");
   BOOST_OUTCOME_CO_TRYV(co_await C->readSome());
   if (!claimMemory(*C))
     co_return makeError(ErrorKind::Unavailable,
@@ -257,6 +208,10 @@
     m_core.m_pool.releaseUnused(C, Now);
     co_return AttemptOutcome::NotSent;
   }
+  if (silentEndpointWentOn()) {
+    m_core.m_pool.releaseUnused(C, Now);
+    co_return AttemptOutcome::Superseded;
+  }
   if (!mayRunAt(m_attempt.m_choice.m_endpoint, Now)) {
     m_core.m_pool.releaseUnused(C, Now);
     co_return AttemptOutcome::HeldBack;
@@ -275,19 +230,15 @@
   m_attempt.m_memory = m_core.m_memory.claim(MemoryKind::Response, Key);
   m_attempt.m_memory->setRevocation([this, C] {
     C->close();
-    const bool Current = m_attempt.m_connection == C;
-    if (!Current && !(m_silentAttempt && m_silentAttempt->m_connection == C))
-      return;
-    Attempt &A = Current ? m_attempt : *m_silentAttempt;
-    freeText(A.m_body);
-    A.m_splitter.clear();
+    if (Attempt *A = attemptOf(C)) {
+      freeText(A->m_body);
+      A->m_splitter.clear();
+    }
   });
   m_attempt.m_sentAt = Now;
   ++m_sentAttempts;
   limitAttempt(attemptDeadline(Now));
-  if (m_silentAttempt)
-    m_silentAttemptTimer.arm(Now + SilentAttemptLifetime,
-                             [this] { onSilentAttemptTimeout(clockNow()); });
+  watchSilentAttempts(Now);
   const Result<void> Sent = co_await C->send(std::move(RequestHead), m_body);
   m_attempt.m_sent = Sent.has_value();
   if (!Sent && m_callerGone)
@@ -325,7 +276,8 @@
       Outcome == AttemptOutcome::MemoryShort ||
       Outcome == AttemptOutcome::Silent || Outcome == AttemptOutcome::Failure)
     m_mayHaveRun = true;
-  if (std::exchange(m_superseded, false) && Outcome == AttemptOutcome::Broken)
+  if (std::exchange(m_givingWay, false) && Outcome == AttemptOutcome::Broken &&
+      C->m_open)
     co_return AttemptOutcome::Superseded;
   if (std::exchange(m_givenUpAsSuspect, false) &&
       Outcome == AttemptOutcome::Broken)
@@ -333,32 +285,23 @@
   co_return Outcome;
 }
 
-/// Whether the endpoint may still answer the attempt, since it was only left
-/// for another endpoint.
-bool Exchange::canResume(AttemptOutcome Outcome) const {
-  return Outcome == AttemptOutcome::Silent && m_attempt.m_connection &&
-         m_attempt.m_connection->m_open;
-}
-
 /// Releases the endpoint of the current attempt, or sets the attempt aside.
 void Exchange::endAttempt(AttemptOutcome Outcome, TimePoint Now) {
   m_attemptTimer.disarm();
+  m_silenceWatch.disarm();
+  m_givingWay = false;
   recordAttempt(Outcome, Now);
-  m_silentAttemptTimer.disarm();
   m_expectedWait = m_attempt.m_observation.m_pause;
   if (Outcome == AttemptOutcome::Delivered)
     m_failover.reset();
   else if (Outcome == AttemptOutcome::HeldBack)
     m_heldBackAt.push_back(m_attempt.m_choice.m_endpoint);
-  if (Outcome != AttemptOutcome::Delivered)
+  const bool Untried =
+      Outcome == AttemptOutcome::Superseded && !m_attempt.m_connection;
+  if (Outcome != AttemptOutcome::Delivered && !Untried)
     m_query.m_excluded.push_back(m_attempt.m_choice.m_endpoint);
   if (canResume(Outcome)) {
-    endSilentAttempt(SilenceEnd::OtherSilent, Now);
-    m_silentAttempt = std::move(m_attempt);
-    m_silentAttempt->m_silentSince =
-        std::max(m_silentAttempt->m_sentAt, m_silentAttempt->m_lastEventsAt);
-    ++m_silences;
-    m_attempt = Attempt();
+    setAside(Outcome);
     return;
   }
   if (m_attempt.m_connection && Outcome != AttemptOutcome::Delivered)
@@ -370,57 +313,6 @@
   releaseEndpoint(m_attempt, Now);
 }
 
-/// Decides between the silent endpoint and the one that got the request next.
-void Exchange::onSilentAttemptTimeout(TimePoint Now) {
-  const ConnectionPtr Next = m_attempt.m_connection;
-  const bool WentOn =
-      m_silentAttempt && m_silentAttempt->m_connection->inputWaiting();
-  if (!WentOn || !Next || Next->responseStarted()) {
-    endSilentAttempt(SilenceEnd::OtherHasRequest, Now);
-    return;
-  }
-  m_superseded = true;
-  Next->close();
-}
-
-/// Leaves the endpoint of the silent attempt for good.
-void Exchange::endSilentAttempt(SilenceEnd Why, TimePoint Now) {
-  m_silentAttemptTimer.disarm();
-  if (!m_silentAttempt)
-    return;
-  Attempt Ended = std::move(*m_silentAttempt);
-  m_silentAttempt.reset();
-  const bool WentOn = Ended.m_connection->inputWaiting();
-  m_core.m_metrics->count("silent_attempt_left");
-  decisionlog::line(LogClass::Failure, "silent_attempt_left")
-      .text("id", m_requestMetadata.m_id)
-      .text("endpoint", Ended.m_choice.m_endpoint)
-      .text("next", m_attempt.m_choice.m_endpoint)
-      .text("reason", nameOf(SilenceEndNames, Why))
-      .real("silent_ms", toMillis(Now - Ended.m_silentSince))
-      .number("went_on", WentOn ? 1 : 0)
-      .number("sends", m_sentAttempts);
-  Ended.m_connection->close();
-  releaseEndpoint(Ended, Now);
-}
-
-/// Goes on with the silent attempt, since no other endpoint took the request.
-asio::awaitable<AttemptOutcome> Exchange::resumeSilentAttempt() {
-  m_silentAttemptTimer.disarm();
-  m_attempt = std::move(*m_silentAttempt);
-  m_silentAttempt.reset();
-  m_core.m_metrics->count("silent_attempt_resumed");
-  decisionlog::line(LogClass::Failure, "silent_attempt_resumed")
-      .text("id", m_requestMetadata.m_id)
-      .text("endpoint", m_attempt.m_choice.m_endpoint)
-      .real("silent_ms", toMillis(clockNow() - m_attempt.m_silentSince))
-      .number("went_on", m_attempt.m_connection->inputWaiting() ? 1 : 0)
-      .number("sends", m_sentAttempts);
-  limitAttempt(std::min<TimePoint>(m_deadline + DeadlineGrace,
-                                   clockNow() + StreamStallTimeout));
-  co_return co_await readAnswer();
-}
-
 /// Returns the connection of a complete response to the pool. One whose engine
 /// names no request is not reused: a repeated response could not be told from
 /// the next one. The attempt has no time limit any more.
@@ -482,6 +374,7 @@
   if (Head.isSuccess()) {
     if (!Metadata.m_signed || Metadata.m_encoded)
       co_return AttemptOutcome::Broken;
+    endSilentAttempts(SilenceEnd::OtherAnswered, clockNow());
     (void)co_await forwardResponse(Head, std::move(Body));
     co_return AttemptOutcome::Delivered;
   }
--- a/src/libgateway/exchangestream.cpp
+++ b/src/libgateway/exchangestream.cpp
@@ -73,10 +73,10 @@
 }
 
 /// Records that new events arrived. The endpoint is not silent any more, and
-/// one that was left for it is not needed.
+/// those that were left are not needed.
 void Exchange::recordEvents(TimePoint Now) {
   m_failover.reset();
-  endSilentAttempt(SilenceEnd::OtherAnswered, Now);
+  endSilentAttempts(SilenceEnd::OtherAnswered, Now);
   if (!m_attempt.m_prefillDone)
     recordFirstEvent();
   else
