--- a/src/libgateway/attempt.h
+++ b/src/libgateway/attempt.h
@@ -8,6 +8,7 @@
 #include "libgateway/events.h"
 #include "libgateway/schedulerclient.h"
 
+#include <algorithm>
 #include <string>
 
 namespace primroseworks::gateway {
@@ -85,6 +86,8 @@
 /// A crash suspect that may not run at an endpoint is looked at again after
 /// this time.
 inline constexpr Milliseconds SuspectCheckInterval{50};
+/// A sound endpoint is silent for less than this and goes on.
+inline constexpr Milliseconds EndpointHangTimeout{3000};
 /// Interval between looks whether a silent endpoint has gone on.
 inline constexpr Milliseconds SilenceCheckInterval{50};
 
@@ -98,8 +101,6 @@
   std::string m_address;                 ///< Of the endpoint.
   ConnectionPtr m_connection;            ///< Null before it is sent.
   TimePoint m_sentAt{};
-  TimePoint m_silentSince{}; ///< If it was set aside: its latest event, or when
-                             ///< it was sent.
   /// The request was sent completely, so the attempt can be resumed.
   bool m_sent = false;
   MemoryClaimPtr m_memory; ///< For what follows, and for the connection.
@@ -125,6 +126,8 @@
   bool m_counted = false;
   /// Another endpoint responded at the address of the chosen one.
   bool m_endpointReplaced = false;
+  /// When its endpoint last showed that it works on it.
+  TimePoint lastSign() const { return std::max(m_sentAt, m_lastEventsAt); }
   /// For how long its events have gone on after the first ones.
   Duration answerAge() const { return m_lastEventsAt - m_firstEventsAt; }
   /// What it has shown so far, for its coordinator.
--- a/src/libgateway/exchange.cpp
+++ b/src/libgateway/exchange.cpp
@@ -320,10 +320,17 @@
 bool Exchange::takeRetry(TimePoint Now) {
   if (attemptsThatMayHaveRun() >= m_route->m_maxAttempts || Now >= m_deadline)
     return false;
-  if (m_core.retries(m_query.m_service).tryAcquire(m_core.m_gatewayCount, Now))
-    return true;
-  m_core.m_metrics->count("retry_limit_reached");
-  return false;
+  RetryUse Use = RetryUse::Needed;
+  for (const Attempt &A : m_silentAttempts)
+    if (retryUse(A.lastSign(), Now) == RetryUse::Spare)
+      Use = RetryUse::Spare;
+  if (!m_core.retries(m_query.m_service)
+           .tryAcquire(Use, m_core.m_gatewayCount, Now)) {
+    m_core.m_metrics->count("retry_limit_reached");
+    return false;
+  }
+  m_core.m_metrics->count("retry_" + std::string(nameOf(RetryUseNames, Use)));
+  return true;
 }
 
 /// Longest time to wait for an endpoint so that the caller can still use the
--- a/src/libgateway/exchange.h
+++ b/src/libgateway/exchange.h
@@ -109,6 +109,7 @@
   bool takeRetry(TimePoint Now);
   bool mayTryAgain(AttemptOutcome Outcome, TimePoint Now);
   bool wouldBeCut() const;
+  static RetryUse retryUse(TimePoint LastSign, TimePoint Now);
   bool canFailOver(TimePoint Now);
   Watchdog::Extension extendUnlessFailover();
   TimePoint attemptDeadline(TimePoint Now) const;
--- a/src/libgateway/exchangesilence.cpp
+++ b/src/libgateway/exchangesilence.cpp
@@ -39,11 +39,19 @@
 
 } // namespace
 
+/// What a retry is for if the latest sign of an attempt was at LastSign.
+RetryUse Exchange::retryUse(TimePoint LastSign, TimePoint Now) {
+  return Now - LastSign < EndpointHangTimeout ? RetryUse::Spare
+                                              : RetryUse::Needed;
+}
+
 /// Whether another endpoint takes the request at once; one that a coordinator
 /// granted stays reserved for it. Takes nothing from the retry limit.
 bool Exchange::canFailOver(TimePoint Now) {
+  const RetryUse Use = retryUse(m_attempt.lastSign(), Now);
   if (attemptsThatMayHaveRun() >= m_route->m_maxAttempts ||
-      !m_core.retries(m_query.m_service).allows(m_core.m_gatewayCount, Now))
+      !m_core.retries(m_query.m_service)
+           .allows(Use, m_core.m_gatewayCount, Now))
     return false;
   ChoiceQuery Query = m_query;
   Query.m_excluded.push_back(m_attempt.m_choice.m_endpoint);
@@ -80,8 +88,6 @@
 void Exchange::setAside(AttemptOutcome Outcome) {
   if (Outcome == AttemptOutcome::Silent)
     ++m_silences;
-  m_attempt.m_silentSince =
-      std::max(m_attempt.m_sentAt, m_attempt.m_lastEventsAt);
   m_silentAttempts.push_back(std::move(m_attempt));
   m_attempt = Attempt();
 }
@@ -142,7 +148,7 @@
         .text("endpoint", Ended.m_choice.m_endpoint)
         .text("next", m_attempt.m_choice.m_endpoint)
         .text("reason", nameOf(SilenceEndNames, Why))
-        .real("silent_ms", toMillis(Now - Ended.m_silentSince))
+        .real("silent_ms", toMillis(Now - Ended.lastSign()))
         .number("went_on", WentOn ? 1 : 0)
         .number("sends", m_sentAttempts);
     Ended.m_connection->close();
@@ -161,7 +167,7 @@
   decisionlog::line(LogClass::Failure, "silent_attempt_resumed")
       .text("id", m_requestMetadata.m_id)
       .text("endpoint", m_attempt.m_choice.m_endpoint)
-      .real("silent_ms", toMillis(Now - m_attempt.m_silentSince))
+      .real("silent_ms", toMillis(Now - m_attempt.lastSign()))
       .number("went_on", m_attempt.m_connection->inputWaiting() ? 1 : 0)
       .number("sends", m_sentAttempts);
   limitAttempt(std::min<TimePoint>(m_deadline + DeadlineGrace,
--- a/src/libgateway/retrywindow.cpp
+++ b/src/libgateway/retrywindow.cpp
@@ -21,7 +21,7 @@
 
 void RetryWindow::onRequest(TimePoint Now) { ++bucket(Now).m_requests; }
 
-bool RetryWindow::allows(unsigned Members, TimePoint Now) const {
+bool RetryWindow::allows(RetryUse Use, unsigned Members, TimePoint Now) const {
   const std::int64_t Newest = bucketIndex(Now);
   double Requests = 0;
   double Retries = 0;
@@ -35,11 +35,13 @@
   double Allowed =
       UsableRetryLimitShare *
       (m_limit.m_share * Requests + m_limit.m_extra / std::max(1U, Members));
+  if (Use == RetryUse::Spare)
+    Allowed *= SpareRetryShare;
   return Retries + 1 <= Allowed;
 }
 
-bool RetryWindow::tryAcquire(unsigned Members, TimePoint Now) {
-  if (!allows(Members, Now))
+bool RetryWindow::tryAcquire(RetryUse Use, unsigned Members, TimePoint Now) {
+  if (!allows(Use, Members, Now))
     return false;
   ++bucket(Now).m_retries;
   return true;
--- a/src/libgateway/retrywindow.h
+++ b/src/libgateway/retrywindow.h
@@ -7,6 +7,7 @@
 #ifndef PRIMROSEWORKS_LIBGATEWAY_RETRYWINDOW_H
 #define PRIMROSEWORKS_LIBGATEWAY_RETRYWINDOW_H
 
+#include "primroseworks/names.h"
 #include "primroseworks/time.h"
 
 #include <array>
@@ -20,6 +21,18 @@
   double m_extra = 0;   ///< Retries beyond the share, for all VMs together.
 };
 
+/// What a retry is for.
+enum class RetryUse {
+  Needed, ///< Nothing else may answer the request.
+  Spare   ///< An attempt that is silent may still answer it.
+};
+inline constexpr NameTable<RetryUse, 2> RetryUseNames = {
+    {{RetryUse::Needed, "needed"}, {RetryUse::Spare, "spare"}}};
+
+/// Share of the usable limit up to which it is used for spare retries. All
+/// streams of an endpoint fall silent at the same moment; what is left is for
+/// requests that fail next.
+inline constexpr double SpareRetryShare = 0.5;
 /// Usable share of the limit. The margin keeps all VMs together below the limit
 /// although the bounds of their windows differ.
 inline constexpr double UsableRetryLimitShare = 0.75;
@@ -29,10 +42,10 @@
   explicit RetryWindow(RetryLimit Limit) : m_limit(Limit) {}
   void onRequest(TimePoint Now);
   /// Whether the limit allows one more retry.
-  bool allows(unsigned Members, TimePoint Now) const;
+  bool allows(RetryUse Use, unsigned Members, TimePoint Now) const;
   /// Counts one retry and returns true if the limit allows it. Members is the
   /// number of VMs that share m_extra.
-  bool tryAcquire(unsigned Members, TimePoint Now);
+  bool tryAcquire(RetryUse Use, unsigned Members, TimePoint Now);
 
 private:
   static constexpr std::size_t BucketsPerWindow = 20;
--- a/src/libgateway/retrywindow_test.cpp
+++ b/src/libgateway/retrywindow_test.cpp
@@ -31,7 +31,7 @@
     Vm.onRequest(Now);
     Log.emplace_back(Ms, false);
     for (int Try = 0; Try < 3; ++Try)
-      if (Vm.tryAcquire(Members, Now))
+      if (Vm.tryAcquire(RetryUse::Needed, Members, Now))
         Log.emplace_back(Ms, true);
   }
   for (int From = 0; From <= 20000; From += 250) {
@@ -48,9 +48,29 @@
   RetryWindow Vm(limit());
   const TimePoint Start = TimePoint() + Seconds(1000);
   unsigned First = 0;
-  while (Vm.tryAcquire(9, Start))
+  while (Vm.tryAcquire(RetryUse::Needed, 9, Start))
     ++First;
   EXPECT_GT(First, 0U);
-  EXPECT_FALSE(Vm.tryAcquire(9, Start + Seconds(9)));
-  EXPECT_TRUE(Vm.tryAcquire(9, Start + Seconds(11)));
+  EXPECT_FALSE(Vm.tryAcquire(RetryUse::Needed, 9, Start + Seconds(9)));
+  EXPECT_TRUE(Vm.tryAcquire(RetryUse::Needed, 9, Start + Seconds(11)));
+}
+
+// Guards against a request that fails (LOST) because silences of another
+// endpoint used up the retries.
+TEST(RetryWindow, SpareRetriesLeaveSomeForFailures) {
+  const TimePoint Now = TimePoint() + Seconds(1000);
+  RetryWindow Vm(limit());
+  for (int I = 0; I < 100; ++I)
+    Vm.onRequest(Now);
+  // 0.75 of 0.2 x 100 + 58 retries are usable, half of them as spare ones.
+  unsigned Spare = 0;
+  while (Vm.tryAcquire(RetryUse::Spare, 1, Now))
+    ++Spare;
+  EXPECT_EQ(Spare, 29U);
+  EXPECT_FALSE(Vm.allows(RetryUse::Spare, 1, Now));
+  unsigned Needed = 0;
+  while (Vm.tryAcquire(RetryUse::Needed, 1, Now))
+    ++Needed;
+  EXPECT_EQ(Needed, 29U);
+  EXPECT_FALSE(Vm.tryAcquire(RetryUse::Spare, 1, Now));
 }
