--- a/src/libgateway/attempt.h
+++ b/src/libgateway/attempt.h
@@ -103,6 +103,8 @@
   TimePoint m_sentAt{};
   /// The request was sent completely, so the attempt can be resumed.
   bool m_sent = false;
+  /// It was left as silent, and its endpoint has not gone on since.
+  bool m_silent = false;
   MemoryClaimPtr m_memory; ///< For what follows, and for the connection.
   std::string m_body;      ///< Of a response that is not a stream.
   /// Size of m_body when another endpoint was last considered.
--- a/src/libgateway/endpoints.cpp
+++ b/src/libgateway/endpoints.cpp
@@ -262,6 +262,8 @@
   if (!E || Health == AttemptHealth::Refused)
     return;
   const bool Failed = Health != AttemptHealth::Good;
+  if (E->m_consecutiveSilent == 0)
+    E->m_failureShareBeforeSilence = E->m_failureShare;
   E->m_failureShare +=
       FailureWeight * ((Failed ? 1.0 : 0.0) - E->m_failureShare);
   E->m_consecutiveSilent =
@@ -275,6 +277,15 @@
     E->m_overrunAt = Now;
 }
 
+void EndpointTable::onWentOn(const std::string &Id) {
+  Endpoint *E = find(Id);
+  if (!E || E->m_consecutiveSilent == 0)
+    return;
+  E->m_consecutiveSilent = 0;
+  E->m_failureShare =
+      std::min(E->m_failureShare, E->m_failureShareBeforeSilence);
+}
+
 void EndpointTable::onPeerOverrun(const std::string &Id,
                                   std::uint64_t Incarnation, TimePoint Now) {
   Endpoint *E = find(Id);
--- a/src/libgateway/endpoints.h
+++ b/src/libgateway/endpoints.h
@@ -83,6 +83,8 @@
   TimePoint m_nextProbe{};   ///< Next probe request while it is avoided.
   TimePoint m_overrunAt{};   ///< Latest overrun that this VM has seen.
   unsigned m_consecutiveSilent = 0;
+  /// m_failureShare before the first of m_consecutiveSilent.
+  double m_failureShareBeforeSilence = 0;
   unsigned m_refusedConnections = 0; ///< In a row, one for each pause.
   /// Recently rejected artifacts, with the time until which each counts.
   std::map<std::string, TimePoint> m_rejectedArtifacts;
@@ -204,6 +206,8 @@
   /// Mean prefill time per prompt token on the service's engines.
   double prefillMsPerToken(const std::string &Service) const;
   void onHealth(const std::string &Id, AttemptHealth Health, TimePoint Now);
+  /// The endpoint of a silent attempt has gone on: its silence was no failure.
+  void onWentOn(const std::string &Id);
   /// Another VM has seen an overrun of this incarnation.
   void onPeerOverrun(const std::string &Id, std::uint64_t Incarnation,
                      TimePoint Now);
--- a/src/libgateway/endpoints_test.cpp
+++ b/src/libgateway/endpoints_test.cpp
@@ -165,3 +165,22 @@
   // What a peer told is not told again.
   EXPECT_EQ(Peer.find("e1")->m_overrunAt, TimePoint());
 }
+
+// Guards against an endpoint that is avoided after a silence that ended.
+TEST(EndpointTable, SilenceThatEndedIsNoFailure) {
+  EndpointTable Table;
+  Table.onRecord(record("e1", 7), Start);
+  Table.onHealth("e1", AttemptHealth::Failed, Start);
+  const double Before = Table.find("e1")->m_failureShare;
+  Table.onHealth("e1", AttemptHealth::Silent, Start);
+  Table.onHealth("e1", AttemptHealth::Silent, Start);
+  EXPECT_GT(Table.find("e1")->m_failureShare, MaxFailureShare);
+  Table.onWentOn("e1");
+  EXPECT_EQ(Table.find("e1")->m_failureShare, Before);
+  EXPECT_EQ(Table.find("e1")->m_consecutiveSilent, 0U);
+  // One that has not been silent since is as it was.
+  Table.onHealth("e1", AttemptHealth::Failed, Start);
+  const double After = Table.find("e1")->m_failureShare;
+  Table.onWentOn("e1");
+  EXPECT_EQ(Table.find("e1")->m_failureShare, After);
+}
--- a/src/libgateway/exchange.h
+++ b/src/libgateway/exchange.h
@@ -78,6 +78,7 @@
   std::vector<Attempt>::iterator nextSilentAttempt();
   void watchSilentAttempts(TimePoint Now);
   bool silentEndpointWentOn();
+  void recordWentOn(Attempt &A);
   void endSilentAttempts(SilenceEnd Why, TimePoint Now);
   asio::awaitable<Result<void>> readMore(ConnectionPtr C);
   bool claimMemory(const Connection &C);
--- a/src/libgateway/exchangeattempt.cpp
+++ b/src/libgateway/exchangeattempt.cpp
@@ -360,6 +360,7 @@
     if (!Step)
       co_return outcomeOf(Step.error(), *C);
   }
+  recordWentOn(m_attempt);
   const HttpHead Head = C->m_reader.head();
   m_attempt.m_status = Head.m_status;
   const ResponseMetadata Metadata = m_core.m_dialect.responseMetadata(Head);
--- a/src/libgateway/exchangesilence.cpp
+++ b/src/libgateway/exchangesilence.cpp
@@ -86,8 +86,10 @@
 
 /// Sets the current attempt aside; its connection stays open.
 void Exchange::setAside(AttemptOutcome Outcome) {
-  if (Outcome == AttemptOutcome::Silent)
+  if (Outcome == AttemptOutcome::Silent) {
+    m_attempt.m_silent = true;
     ++m_silences;
+  }
   m_silentAttempts.push_back(std::move(m_attempt));
   m_attempt = Attempt();
 }
@@ -137,11 +139,21 @@
       });
 }
 
+/// The endpoint of an attempt has gone on: takes back what its silence showed.
+void Exchange::recordWentOn(Attempt &A) {
+  if (!std::exchange(A.m_silent, false))
+    return;
+  m_core.m_endpoints.onWentOn(A.m_choice.m_endpoint);
+  A.m_observation.m_health = std::nullopt;
+}
+
 /// Leaves the endpoints of the silent attempts for good.
 void Exchange::endSilentAttempts(SilenceEnd Why, TimePoint Now) {
   m_silenceWatch.disarm();
   for (Attempt &Ended : std::exchange(m_silentAttempts, {})) {
     const bool WentOn = Ended.m_connection->inputWaiting();
+    if (WentOn)
+      recordWentOn(Ended);
     m_core.m_metrics->count("silent_attempt_left");
     decisionlog::line(LogClass::Failure, "silent_attempt_left")
         .text("id", m_requestMetadata.m_id)
--- a/src/libgateway/exchangestream.cpp
+++ b/src/libgateway/exchangestream.cpp
@@ -76,6 +76,7 @@
 /// those that were left are not needed.
 void Exchange::recordEvents(TimePoint Now) {
   m_failover.reset();
+  recordWentOn(m_attempt);
   endSilentAttempts(SilenceEnd::OtherAnswered, Now);
   if (!m_attempt.m_prefillDone)
     recordFirstEvent();
