--- a/testsuite/soak/soak.cpp
+++ b/testsuite/soak/soak.cpp
@@ -55,6 +55,9 @@
 constexpr milliseconds EndlessTime{1500};
 /// Number of the engines that are plain services; they come first.
 constexpr unsigned PlainEngines = 3;
+/// Rounds in which sound endpoints fall silent, and their length.
+constexpr unsigned SilenceRounds = 4;
+constexpr milliseconds SilenceRound{2300};
 /// Ends under one request, one after the other.
 constexpr unsigned MaxEnds = 3;
 
@@ -62,7 +65,7 @@
 
 Soak::Soak(SoakOptions Options)
     : m_options(std::move(Options)), m_random(m_options.m_seed), m_store(m_io),
-      m_partRandom(m_options.m_seed) {
+      m_partRandom(m_options.m_seed), m_silenceRandom(m_options.m_seed) {
   std::filesystem::create_directories(m_options.m_folder);
   m_baseFaults.m_silenceProbability = BaseSilences;
   const std::string Net =
@@ -185,6 +188,49 @@
                                 Last.second, Last.first));
 }
 
+/// One, half or all of the endpoints from First on fall silent at the same
+/// moment, each for a time of its own. Returns how many.
+unsigned Soak::silence(unsigned First, unsigned Count) {
+  const unsigned Choices[] = {1, (Count + 1) / 2, Count};
+  const unsigned Silent = Choices[m_silenceRandom() % std::size(Choices)];
+  const auto Start = static_cast<unsigned>(m_silenceRandom() % Count);
+  for (unsigned I = 0; I < Silent; ++I)
+    m_engines[First + (Start + I) % Count]->fallSilent(
+        Milliseconds(500 + m_silenceRandom() % 1500));
+  return Silent;
+}
+
+/// Endpoints fall silent and go on while other faults are in force.
+asio::awaitable<void> Soak::drawSilences() {
+  const auto Models = static_cast<unsigned>(m_engines.size()) - PlainEngines;
+  while (m_drawingSilences) {
+    co_await pause(Milliseconds(500 + m_silenceRandom() % 2500));
+    if (m_silenceRandom() % 2 == 0)
+      (void)silence(0, PlainEngines);
+    else
+      (void)silence(PlainEngines, Models);
+  }
+}
+
+/// Silences of sound endpoints beside a change of the configuration cut no
+/// request, although an endpoint that is asked instead refuses.
+asio::awaitable<void> Soak::checkSilences() {
+  const auto Models = static_cast<unsigned>(m_engines.size()) - PlainEngines;
+  for (unsigned Round = 0; Round < SilenceRounds; ++Round) {
+    EngineFaults Refuses = m_baseFaults;
+    Refuses.m_rejectProbability = 1;
+    const auto Refusing = static_cast<unsigned>(m_silenceRandom() % Models);
+    setEngineFaults(*m_engines[PlainEngines + Refusing], Refuses, SilenceRound);
+    const unsigned Plain = silence(0, PlainEngines);
+    const unsigned Model = silence(PlainEngines, Models);
+    note(fmt::format("{} plain and {} model endpoints fall silent", Plain,
+                     Model));
+    ++m_version;
+    putConfiguration();
+    co_await pause(SilenceRound);
+  }
+}
+
 /// A new route works, and stays, at every gateway.
 asio::awaitable<void> Soak::checkConfiguration() {
   m_extraRoutes += 1;
@@ -309,8 +355,11 @@
   co_await pause(Milliseconds(1000));
   m_sendingDeadlyParts = true;
   start(sendDeadlyParts());
+  m_drawingSilences = true;
+  start(drawSilences());
   co_await injectFaults();
   m_sendingDeadlyParts = false;
+  m_drawingSilences = false;
   note("all faults are over");
   co_await checkRecovery();
   co_await checkCrashing(CrashingPrefix);
@@ -321,6 +370,7 @@
   co_await checkEndlessResponses();
   co_await checkRecovery();
   m_callers->m_calm = true;
+  co_await checkSilences();
   co_await checkConfiguration();
   co_await checkDrain();
   co_await checkRollingStop();
--- a/testsuite/soak/soak.h
+++ b/testsuite/soak/soak.h
@@ -51,6 +51,8 @@
   asio::awaitable<void> applyFor(std::function<void()> Begin,
                                  std::function<void()> End, Milliseconds Time);
   asio::awaitable<void> checkRecovery();
+  asio::awaitable<void> checkSilences();
+  asio::awaitable<void> drawSilences();
   asio::awaitable<void> checkConfiguration();
   asio::awaitable<void> checkDrain();
   asio::awaitable<void> checkRollingStop();
@@ -67,6 +69,7 @@
   void drawProcessFault(GatewayProcess &P, Milliseconds Time);
   void drawStoreFault(Milliseconds Time);
   void drawEngineFault(EngineStandin &E, Milliseconds Time);
+  unsigned silence(unsigned First, unsigned Count);
   void drawOddEntry(Milliseconds Time);
   void restartEngine(EngineStandin &E);
   void endUnderRequest(const std::string &Endpoint);
@@ -107,6 +110,9 @@
   /// Draws what follows such requests; the other draws stay those of the seed.
   std::mt19937_64 m_partRandom;
   bool m_sendingDeadlyParts = false;
+  /// Draws which endpoints fall silent; the other draws stay those of the seed.
+  std::mt19937_64 m_silenceRandom;
+  bool m_drawingSilences = false;
   unsigned m_crashingPaths = 0; ///< No two requests with it are alike.
   /// Of endpoints without a drawn fault.
   platform::testing::EngineFaults m_baseFaults;
