--- a/src/include/primroseworks/suspects.h
+++ b/src/include/primroseworks/suspects.h
@@ -56,7 +56,8 @@
 /// A crash that is explained by a part of a prompt (PartSuspects) is none of a
 /// fingerprint: its strike counts nowhere below. If a part shares all crashes
 /// of a fingerprint but the last one, the fingerprint is not refused within
-/// m_settle of it: the part's strike may be on its way.
+/// m_settle of it: the part's strike may be on its way. The same holds for
+/// another fingerprint at the strike that reaches m_strikes.
 ///
 /// A fingerprint is refused once it has m_strikes and one of its crashes has no
 /// other suspect with as many: of several that always crashed together, each
@@ -158,6 +159,8 @@
   /// Strikes of crashes that no part of a prompt explains.
   std::size_t openStrikes(const Entry &E) const;
   unsigned suspicionOf(const Entry &E);
+  /// Whether another fingerprint may turn out to have all crashes of E.
+  bool mayShareLast(const Entry &E) const;
   bool isRefused(const Entry &E, TimePoint Now);
   void findWorst();
   /// Whether a suspect other than those held here with a suspicion of one
--- a/src/libadmission/suspects.cpp
+++ b/src/libadmission/suspects.cpp
@@ -205,13 +205,32 @@
       }));
 }
 
+bool CrashSuspects::mayShareLast(const Entry &E) const {
+  // Those that tied at the last of m_strikes run apart from then on.
+  if (E.m_crashes.size() != m_options.m_strikes)
+    return false;
+  const auto Holds = [](const Entry &O, std::uint64_t Crash) {
+    return std::find(O.m_crashes.begin(), O.m_crashes.end(), Crash) !=
+           O.m_crashes.end();
+  };
+  const auto First = E.m_crashes.begin();
+  const auto Last = std::prev(E.m_crashes.end());
+  return std::any_of(
+      m_entries.begin(), m_entries.end(), [&](const auto &Known) {
+        const Entry &O = Known.second;
+        return !Holds(O, *Last) && std::all_of(First, Last, [&](auto Crash) {
+          return Holds(O, Crash);
+        });
+      });
+}
+
 bool CrashSuspects::isRefused(const Entry &E, TimePoint Now) {
   const std::size_t Strikes = openStrikes(E);
   if (Strikes < m_options.m_strikes)
     return false;
-  // The strike of a part that caused this crash, too, may be on its way.
+  // The strike of what caused this crash, too, may be on its way.
   if (Now - E.m_lastStrike < m_options.m_settle &&
-      m_parts.mayExplainLast(E.m_crashes))
+      (m_parts.mayExplainLast(E.m_crashes) || mayShareLast(E)))
     return false;
   findWorst();
   return std::any_of(
--- a/src/libadmission/suspects_test.cpp
+++ b/src/libadmission/suspects_test.cpp
@@ -462,3 +462,26 @@
       }
     }
 }
+
+// Guards against LOST: a request that many callers send is refused since it ran
+// at the third end as well, a moment before a peer tells that the request which
+// ends endpoints was there, too.
+TEST(CrashSuspects, RequestIsNotRefusedBeforeTheStrikeOfAnotherArrives) {
+  CrashSuspects S = std::move(CrashSuspects::create({})).value();
+  const Milliseconds Settle = SuspectOptions().m_settle;
+  constexpr std::uint64_t Popular = 7;
+  constexpr std::uint64_t Deadly = 9;
+  for (const std::uint64_t Crash : {1, 2})
+    for (const std::uint64_t Fingerprint : {Popular, Deadly})
+      S.addFromPeer(Fingerprint, Crash, Start);
+  S.strike(Popular, 3, Start);
+  EXPECT_FALSE(S.refused(Popular, Start));
+  EXPECT_FALSE(S.mayRun(Popular, "e", Start));
+  // No peer tells of it: it is refused.
+  EXPECT_TRUE(S.refused(Popular, Start + Settle));
+  S.addFromPeer(Deadly, 3, Start);
+  EXPECT_FALSE(S.refused(Popular, Start + Settle));
+  S.addFromPeer(Deadly, 4, Start);
+  EXPECT_TRUE(S.refused(Deadly, Start + Settle));
+  EXPECT_FALSE(S.refused(Popular, Start + Settle));
+}
