--- a/testsuite/soak/soak.cpp
+++ b/testsuite/soak/soak.cpp
@@ -58,6 +58,10 @@
 /// Rounds in which sound endpoints fall silent, and their length.
 constexpr unsigned SilenceRounds = 4;
 constexpr milliseconds SilenceRound{2300};
+constexpr milliseconds ShortestSilence{500};
+constexpr milliseconds LongestSilence{2000};
+/// Shortest of silences after which endpoints refuse what they were sent late.
+constexpr milliseconds LateSilence{1600};
 /// Ends under one request, one after the other.
 constexpr unsigned MaxEnds = 3;
 
@@ -188,16 +192,23 @@
                                 Last.second, Last.first));
 }
 
-/// One, half or all of the endpoints from First on fall silent at the same
-/// moment, each for a time of its own. Returns how many.
-unsigned Soak::silence(unsigned First, unsigned Count) {
-  const unsigned Choices[] = {1, (Count + 1) / 2, Count};
-  const unsigned Silent = Choices[m_silenceRandom() % std::size(Choices)];
+/// Silent of the Count endpoints from First on fall silent at the same moment,
+/// each for a time of its own from Shortest to LongestSilence.
+void Soak::silence(unsigned First, unsigned Count, unsigned Silent,
+                   Milliseconds Shortest) {
   const auto Start = static_cast<unsigned>(m_silenceRandom() % Count);
+  const auto Spread =
+      static_cast<std::uint64_t>((LongestSilence - Shortest).count());
   for (unsigned I = 0; I < Silent; ++I)
     m_engines[First + (Start + I) % Count]->fallSilent(
-        Milliseconds(500 + m_silenceRandom() % 1500));
-  return Silent;
+        Shortest + Milliseconds(m_silenceRandom() % Spread));
+}
+
+/// One, half or all of the endpoints from First on fall silent.
+void Soak::drawSilence(unsigned First, unsigned Count) {
+  const unsigned Choices[] = {1, (Count + 1) / 2, Count};
+  silence(First, Count, Choices[m_silenceRandom() % std::size(Choices)],
+          ShortestSilence);
 }
 
 /// Endpoints fall silent and go on while other faults are in force.
@@ -206,25 +217,25 @@
   while (m_drawingSilences) {
     co_await pause(Milliseconds(500 + m_silenceRandom() % 2500));
     if (m_silenceRandom() % 2 == 0)
-      (void)silence(0, PlainEngines);
+      drawSilence(0, PlainEngines);
     else
-      (void)silence(PlainEngines, Models);
+      drawSilence(PlainEngines, Models);
   }
 }
 
 /// Silences of sound endpoints beside a change of the configuration cut no
-/// request, although an endpoint that is asked instead refuses.
+/// request, although the endpoints that are asked instead refuse, silent ones
+/// late.
 asio::awaitable<void> Soak::checkSilences() {
   const auto Models = static_cast<unsigned>(m_engines.size()) - PlainEngines;
   for (unsigned Round = 0; Round < SilenceRounds; ++Round) {
     EngineFaults Refuses = m_baseFaults;
     Refuses.m_rejectProbability = 1;
-    const auto Refusing = static_cast<unsigned>(m_silenceRandom() % Models);
-    setEngineFaults(*m_engines[PlainEngines + Refusing], Refuses, SilenceRound);
-    const unsigned Plain = silence(0, PlainEngines);
-    const unsigned Model = silence(PlainEngines, Models);
-    note(fmt::format("{} plain and {} model endpoints fall silent", Plain,
-                     Model));
+    for (unsigned I = 0; I < Models; ++I)
+      setEngineFaults(*m_engines[PlainEngines + I], Refuses, SilenceRound);
+    note("sound endpoints fall silent and refuse");
+    drawSilence(0, PlainEngines);
+    silence(PlainEngines, Models, Models, LateSilence);
     ++m_version;
     putConfiguration();
     co_await pause(SilenceRound);
--- a/testsuite/soak/soak.h
+++ b/testsuite/soak/soak.h
@@ -69,7 +69,9 @@
   void drawProcessFault(GatewayProcess &P, Milliseconds Time);
   void drawStoreFault(Milliseconds Time);
   void drawEngineFault(EngineStandin &E, Milliseconds Time);
-  unsigned silence(unsigned First, unsigned Count);
+  void silence(unsigned First, unsigned Count, unsigned Silent,
+               Milliseconds Shortest);
+  void drawSilence(unsigned First, unsigned Count);
   void drawOddEntry(Milliseconds Time);
   void restartEngine(EngineStandin &E);
   void endUnderRequest(const std::string &Endpoint);
