--- a/testsuite/soak/soak.cpp
+++ b/testsuite/soak/soak.cpp
@@ -58,6 +58,7 @@
 /// Rounds in which sound endpoints fall silent, and their length.
 constexpr unsigned SilenceRounds = 4;
 constexpr milliseconds SilenceRound{2300};
+constexpr milliseconds SilencePause{800};
 constexpr milliseconds ShortestSilence{500};
 constexpr milliseconds LongestSilence{2000};
 /// Shortest of silences after which endpoints refuse what they were sent late.
@@ -229,6 +230,7 @@
 asio::awaitable<void> Soak::checkSilences() {
   const auto Models = static_cast<unsigned>(m_engines.size()) - PlainEngines;
   for (unsigned Round = 0; Round < SilenceRounds; ++Round) {
+    co_await pause(SilencePause); // Streams begin.
     EngineFaults Refuses = m_baseFaults;
     Refuses.m_rejectProbability = 1;
     for (unsigned I = 0; I < Models; ++I)
