--- a/src/libgateway/exchange.cpp
+++ b/src/libgateway/exchange.cpp
@@ -12,6 +12,9 @@
 
 namespace {
 
+/// Time left for a failure of an endpoint to reach the caller.
+constexpr Milliseconds FailureForwardTime{100};
+
 /// Hash of the prompt parts that other requests may share, which are all but
 /// the last. 0 if there are none.
 std::uint64_t affinityHash(const RequestMetadata &Metadata) {
@@ -234,7 +237,7 @@
     if (m_processEnding)
       co_return co_await fail("stopping");
     const bool WentOn = silentEndpointWentOn();
-    if (Begin >= m_deadline && !WentOn)
+    if (Begin >= lastMoment() && !WentOn)
       co_return co_await fail("time_limit");
     if (wouldBeCut())
       co_return co_await rejectNotRun("stopping");
@@ -276,6 +279,21 @@
   }
 }
 
+/// When the request is given up. An endpoint's failure must still reach the
+/// caller in time.
+TimePoint Exchange::lastMoment() const {
+  const bool HasFailure =
+      !m_committed && m_failureResponse.m_head.m_status != 0;
+  return HasFailure ? m_deadline - FailureForwardTime : m_deadline;
+}
+
+/// When an attempt ends at the latest: an engine may respond right at its
+/// deadline.
+TimePoint Exchange::latestEnd() const {
+  const TimePoint Last = lastMoment();
+  return Last < m_deadline ? Last : m_deadline + DeadlineGrace;
+}
+
 /// Whether this process may end before the request, which may not be sent again
 /// if it is cut. Others are taken: most end in time.
 bool Exchange::wouldBeCut() const {
@@ -316,10 +334,7 @@
 bool Exchange::takeRetry(TimePoint Now) {
   if (attemptsThatMayHaveRun() >= m_route->m_maxAttempts || Now >= m_deadline)
     return false;
-  RetryUse Use = RetryUse::Needed;
-  for (const Attempt &A : m_silentAttempts)
-    if (retryUse(A.lastSign(), Now) == RetryUse::Spare)
-      Use = RetryUse::Spare;
+  const RetryUse Use = retryUse(Now);
   if (!m_core.retries(m_query.m_service)
            .tryAcquire(Use, m_core.m_gatewayCount, Now)) {
     m_core.m_metrics->count("retry_limit_reached");
--- a/src/libgateway/exchange.h
+++ b/src/libgateway/exchange.h
@@ -78,6 +78,7 @@
   std::vector<Attempt>::iterator nextSilentAttempt();
   void watchSilentAttempts(TimePoint Now);
   bool silentEndpointWentOn();
+  void giveWay();
   void recordWentOn(Attempt &A);
   void endSilentAttempts(SilenceEnd Why, TimePoint Now);
   asio::awaitable<Result<void>> readMore(ConnectionPtr C);
@@ -100,7 +101,13 @@
   asio::awaitable<bool> fail(std::string Reason);
 
   void initFromRequest(TimePoint Now);
-  std::string takeEvents(bool &Invalid);
+  /// What of a stream is new to the caller.
+  struct NewEvents {
+    std::string m_bytes;
+    bool m_hasEvent = false; ///< Not only comments.
+    bool m_invalid = false;  ///< One is missing, or the rest is no event.
+  };
+  NewEvents takeEvents();
   void recordEvents(TimePoint Now);
   void recordFirstEvent();
   void recordEventGap(TimePoint Now);
@@ -110,7 +117,9 @@
   bool takeRetry(TimePoint Now);
   bool mayTryAgain(AttemptOutcome Outcome, TimePoint Now);
   bool wouldBeCut() const;
-  static RetryUse retryUse(TimePoint LastSign, TimePoint Now);
+  RetryUse retryUse(TimePoint Now) const;
+  TimePoint lastMoment() const;
+  TimePoint latestEnd() const;
   bool canFailOver(TimePoint Now);
   Watchdog::Extension extendUnlessFailover();
   TimePoint attemptDeadline(TimePoint Now) const;
--- a/src/libgateway/exchangeattempt.cpp
+++ b/src/libgateway/exchangeattempt.cpp
@@ -277,7 +277,7 @@
       Outcome == AttemptOutcome::Silent || Outcome == AttemptOutcome::Failure)
     m_mayHaveRun = true;
   if (std::exchange(m_givingWay, false) && Outcome == AttemptOutcome::Broken &&
-      C->m_open)
+      (C->m_open || !m_attempt.m_sent))
     co_return AttemptOutcome::Superseded;
   if (std::exchange(m_givenUpAsSuspect, false) &&
       Outcome == AttemptOutcome::Broken)
@@ -318,6 +318,7 @@
 /// the next one. The attempt has no time limit any more.
 void Exchange::releaseConnection(const ResponseMetadata &Metadata) {
   m_attemptTimer.disarm();
+  m_silenceWatch.disarm();
   // From now on the connection may serve another request.
   if (m_attempt.m_memory)
     m_attempt.m_memory->setRevocation(nullptr);
--- a/src/libgateway/exchangesilence.cpp
+++ b/src/libgateway/exchangesilence.cpp
@@ -37,21 +37,42 @@
   return toSeconds(FailoverCheckInterval) * Looks <= 2 * toSeconds(TimeLeft);
 }
 
+/// Part of a request's time after which a silence counts as a hang, if that is
+/// sooner than EndpointHangTimeout.
+constexpr double HangShare = 0.75;
+
+/// Whether more of the response, or its end, has arrived.
+bool isReadable(const Attempt &A) {
+  char Byte = 0;
+  return A.m_connection->m_open &&
+         recv(A.m_connection->m_socket.native_handle(), &Byte, 1,
+              MSG_PEEK | MSG_DONTWAIT) >= 0;
+}
+
 } // namespace
 
-/// What a retry is for if the latest sign of an attempt was at LastSign.
-RetryUse Exchange::retryUse(TimePoint LastSign, TimePoint Now) {
-  return Now - LastSign < EndpointHangTimeout ? RetryUse::Spare
-                                              : RetryUse::Needed;
+/// What a retry is for now: spare while an attempt may still answer that has
+/// not been silent for long.
+RetryUse Exchange::retryUse(TimePoint Now) const {
+  TimePoint LastSign{};
+  if (m_attempt.m_connection)
+    LastSign = m_attempt.lastSign();
+  for (const Attempt &A : m_silentAttempts)
+    LastSign = std::max(LastSign, A.lastSign());
+  const Duration Hang = std::min<Duration>(
+      EndpointHangTimeout,
+      fromSeconds(HangShare * toSeconds(m_deadline - m_arrivedAt)));
+  return Now - LastSign < Hang ? RetryUse::Spare : RetryUse::Needed;
 }
 
 /// Whether another endpoint takes the request at once; one that a coordinator
 /// granted stays reserved for it. Takes nothing from the retry limit.
 bool Exchange::canFailOver(TimePoint Now) {
-  const RetryUse Use = retryUse(m_attempt.lastSign(), Now);
-  if (attemptsThatMayHaveRun() >= m_route->m_maxAttempts ||
+  // One that is not sent completely could not be resumed.
+  const bool Sending = !m_attempt.m_sent && retryUse(Now) == RetryUse::Spare;
+  if (Sending || attemptsThatMayHaveRun() >= m_route->m_maxAttempts ||
       !m_core.retries(m_query.m_service)
-           .allows(Use, m_core.m_gatewayCount, Now))
+           .allows(retryUse(Now), m_core.m_gatewayCount, Now))
     return false;
   ChoiceQuery Query = m_query;
   Query.m_excluded.push_back(m_attempt.m_choice.m_endpoint);
@@ -66,7 +87,7 @@
 /// for long may still respond. One whose response is arriving is not left.
 Watchdog::Extension Exchange::extendUnlessFailover() {
   return [this](TimePoint Now) {
-    const TimePoint Latest = m_deadline + DeadlineGrace;
+    const TimePoint Latest = latestEnd();
     const std::size_t Before =
         std::exchange(m_attempt.m_checkedBodyBytes, m_attempt.m_body.size());
     const bool Arriving = isArriving(m_attempt, Before, m_deadline - Now);
@@ -104,19 +125,17 @@
   return nullptr;
 }
 
-/// The silent attempt to go on with: one whose endpoint went on, or else the
-/// oldest.
+/// The silent attempt to go on with: one whose endpoint went on or ended it, or
+/// else the oldest.
 std::vector<Attempt>::iterator Exchange::nextSilentAttempt() {
-  const auto It = std::find_if(
-      m_silentAttempts.begin(), m_silentAttempts.end(),
-      [](const Attempt &A) { return A.m_connection->inputWaiting(); });
+  const auto It = std::find_if(m_silentAttempts.begin(), m_silentAttempts.end(),
+                               isReadable);
   return It == m_silentAttempts.end() ? m_silentAttempts.begin() : It;
 }
 
-/// Whether a silent endpoint has gone on.
+/// Whether a silent endpoint has gone on, or ended its attempt.
 bool Exchange::silentEndpointWentOn() {
-  return !m_silentAttempts.empty() &&
-         nextSilentAttempt()->m_connection->inputWaiting();
+  return !m_silentAttempts.empty() && isReadable(*nextSilentAttempt());
 }
 
 /// Looks from time to time whether a silent endpoint goes on before the current
@@ -126,19 +145,26 @@
   if (m_silentAttempts.empty())
     return;
   m_silenceWatch.arm(
-      Now + SilenceCheckInterval,
-      [this] {
-        m_givingWay = true;
-        m_attempt.m_connection->interrupt();
-      },
+      Now + SilenceCheckInterval, [this] { giveWay(); },
       [this](TimePoint Now) -> TimePoint {
-        const bool MayGiveWay = m_attempt.m_sent && m_attempt.m_connection;
-        return MayGiveWay && silentEndpointWentOn()
+        return m_attempt.m_connection && silentEndpointWentOn()
                    ? Now
                    : Now + SilenceCheckInterval;
       });
 }
 
+/// Ends the wait for the current attempt. One that is still being sent cannot
+/// be resumed.
+void Exchange::giveWay() {
+  if (!m_attempt.m_connection)
+    return;
+  m_givingWay = true;
+  if (m_attempt.m_sent)
+    m_attempt.m_connection->interrupt();
+  else
+    m_attempt.m_connection->close();
+}
+
 /// The endpoint of an attempt has gone on: takes back what its silence showed.
 void Exchange::recordWentOn(Attempt &A) {
   if (!std::exchange(A.m_silent, false))
@@ -150,27 +176,34 @@
 /// Leaves the endpoints of the silent attempts for good.
 void Exchange::endSilentAttempts(SilenceEnd Why, TimePoint Now) {
   m_silenceWatch.disarm();
-  for (Attempt &Ended : std::exchange(m_silentAttempts, {})) {
-    const bool WentOn = Ended.m_connection->inputWaiting();
-    if (WentOn)
-      recordWentOn(Ended);
+  std::vector<Attempt> Ended = std::exchange(m_silentAttempts, {});
+  std::vector<bool> WentOn;
+  for (Attempt &A : Ended) {
+    WentOn.push_back(A.m_connection->inputWaiting());
+    if (WentOn.back())
+      recordWentOn(A);
+    A.m_connection->close();
+  }
+  // Logged last: what is held is given back whatever fails.
+  for (Attempt &A : Ended)
+    releaseEndpoint(A, Now);
+  for (std::size_t I = 0; I < Ended.size(); ++I) {
     m_core.m_metrics->count("silent_attempt_left");
     decisionlog::line(LogClass::Failure, "silent_attempt_left")
         .text("id", m_requestMetadata.m_id)
-        .text("endpoint", Ended.m_choice.m_endpoint)
+        .text("endpoint", Ended[I].m_choice.m_endpoint)
         .text("next", m_attempt.m_choice.m_endpoint)
         .text("reason", nameOf(SilenceEndNames, Why))
-        .real("silent_ms", toMillis(Now - Ended.lastSign()))
-        .number("went_on", WentOn ? 1 : 0)
+        .real("silent_ms", toMillis(Now - Ended[I].lastSign()))
+        .number("went_on", WentOn[I] ? 1 : 0)
         .number("sends", m_sentAttempts);
-    Ended.m_connection->close();
-    releaseEndpoint(Ended, Now);
   }
 }
 
 /// Goes on with a silent attempt, since no other endpoint took the request or
 /// its own endpoint went on.
 asio::awaitable<AttemptOutcome> Exchange::resumeSilentAttempt() {
+  m_failover.reset();
   const auto Next = nextSilentAttempt();
   m_attempt = std::move(*Next);
   m_silentAttempts.erase(Next);
@@ -182,8 +215,7 @@
       .real("silent_ms", toMillis(Now - m_attempt.lastSign()))
       .number("went_on", m_attempt.m_connection->inputWaiting() ? 1 : 0)
       .number("sends", m_sentAttempts);
-  limitAttempt(std::min<TimePoint>(m_deadline + DeadlineGrace,
-                                   Now + StreamStallTimeout));
+  limitAttempt(std::min<TimePoint>(latestEnd(), Now + StreamStallTimeout));
   watchSilentAttempts(Now);
   co_return co_await readAnswer();
 }
--- a/src/libgateway/exchangestream.cpp
+++ b/src/libgateway/exchangestream.cpp
@@ -44,16 +44,16 @@
   m_core.m_endpoints.onStallSample(m_attempt.m_choice.m_endpoint, true);
 }
 
-/// Returns the complete events that the caller does not have yet. Invalid is
-/// set if one is missing before the rest, or if the rest is no event.
-std::string Exchange::takeEvents(bool &Invalid) {
-  std::string NewEvents;
+/// Returns the complete events, and comments, that the caller does not have
+/// yet.
+Exchange::NewEvents Exchange::takeEvents() {
+  NewEvents Out;
   while (std::optional<StreamEvent> Event = m_attempt.m_splitter.next()) {
     // Once events have ids, one without an id is no event of this stream.
     if (!Event->m_wellFormed ||
         (Event->m_hasFields && !Event->m_id && m_lastEventId)) {
       m_core.m_metrics->count("stream_event_refused");
-      Invalid = true;
+      Out.m_invalid = true;
       break;
     }
     m_attempt.m_eventSeen = m_attempt.m_eventSeen || Event->m_hasFields;
@@ -62,14 +62,15 @@
         continue; // Already sent to the caller.
       if (m_lastEventId && *Event->m_id != *m_lastEventId + 1) {
         m_core.m_metrics->count("stream_gap_refused");
-        Invalid = true;
+        Out.m_invalid = true;
         break;
       }
       m_lastEventId = Event->m_id;
     }
-    NewEvents += Event->m_bytes;
+    Out.m_bytes += Event->m_bytes;
+    Out.m_hasEvent = Out.m_hasEvent || Event->m_hasFields;
   }
-  return NewEvents;
+  return Out;
 }
 
 /// Records that new events arrived. The endpoint is not silent any more, and
@@ -102,27 +103,28 @@
       m_route->m_resumable && attemptsThatMayHaveRun() < m_route->m_maxAttempts;
   for (;;) {
     Splitter.add(C->m_reader.takeBody());
-    bool Invalid = false;
-    const std::string NewEvents = takeEvents(Invalid);
-    if (!NewEvents.empty())
+    NewEvents New = takeEvents();
+    if (New.m_hasEvent)
       recordEvents(clockNow());
+    else if (!m_attempt.m_eventSeen)
+      New.m_bytes.clear(); // Comments alone begin no answer.
     // Complete events are forwarded even if the stream is truncated after them:
     // they count as sent, and another endpoint continues after the last one.
     // A continuation without an event shows no end of the stream.
     const bool Empty = m_committed && !m_attempt.m_eventSeen;
     const bool Truncated =
-        Invalid || Splitter.pending() > MaxEventBytes ||
+        New.m_invalid || Splitter.pending() > MaxEventBytes ||
         (C->m_reader.complete() && (Splitter.pending() > 0 || Empty));
     const bool Complete = C->m_reader.complete() && !Truncated;
     std::string Out;
-    if ((!NewEvents.empty() || Complete) && !m_committed) {
+    if ((!New.m_bytes.empty() || Complete) && !m_committed) {
       m_committed = true;
       m_firstByteAt = clockNow();
       m_status = Head.m_status;
       Out = serializeResponseHead(Head, true, 0);
     }
-    if (!NewEvents.empty())
-      Out += fmt::format("{:x}\r\n", NewEvents.size()) + NewEvents + "\r\n";
+    if (!New.m_bytes.empty())
+      Out += fmt::format("{:x}\r\n", New.m_bytes.size()) + New.m_bytes + "\r\n";
     if (Complete) {
       Out += "0\r\n\r\n";
       releaseConnection(Metadata);
@@ -140,7 +142,7 @@
     if (Truncated)
       co_return Splitter.pending() > MaxEventBytes ? AttemptOutcome::Overrun
                                                    : AttemptOutcome::Broken;
-    if (!NewEvents.empty()) {
+    if (New.m_hasEvent) {
       const TimePoint Latest = m_deadline + DeadlineGrace;
       limitAttempt(MayFailOver ? std::min<TimePoint>(
                                      Latest, clockNow() + StreamStallTimeout)
