--- a/testsuite/soak/callers.cpp
+++ b/testsuite/soak/callers.cpp
@@ -174,7 +174,9 @@
   if (!Reader.complete()) {
     const bool Unread = !m_check.hasRun(Id) &&
                         Clock::now() - Sent < CrossingTime && !Reader.started();
-    if (Calm && m_calm && !TimedOut && !Unread)
+    const bool InTime =
+        Clock::now() - Sent < std::chrono::milliseconds(DeadlineMs);
+    if (Calm && m_calm && !TimedOut && !Unread && InTime)
       m_check.violation(Id + " was cut at " + Address + " without a fault");
     if (Unread && MustBeRead &&
         C.m_interruptions == C.m_gateway->m_interruptions)
