Review case 1: a late order reaches an engine that started again (LIMIT)

The case is a script. An order to load an adapter gets no answer and is carried out 10 s later; its engine crashes meanwhile and starts again under its id, so its count of orders begins anew. After as many orders as before the late one is taken by an engine whose places for adapters are full.

--- a/review/1/case.cpp
+++ b/review/1/case.cpp
@@ -1,36 +1,37 @@
-// An engine goes dark in the middle of its streams and is back later, which
-// resets the connections of its former run. One of the streams had no length.
-// Its caller must not get it as complete. Then the same with the whole answer
-// of an instance of a plain service.
+// An order to load an adapter gets no answer and is carried out seconds later.
+// Meanwhile its engine crashes and starts again under its id, so its counts
+// start anew. Once the leader has given it as many orders as before, the late
+// order finds the number that it expects, at an engine that is full.
 #include "lab.h"
 
 #include <iostream>
-#include <sstream>
 
 using namespace review;
 
 namespace {
 
-constexpr int EarlierStreams = 14;
-constexpr int Streams = 6; ///< One of these and of all 20 has no length: 0.05.
-constexpr int Events = 57;
-constexpr Ms EventGap{30};
-constexpr Ms StartGap{15};
-/// `srv_crash`, dark; the site has for_s = 2.0 and more.
-constexpr Ms DarkTime{1400};
-/// A prompt of 1,460 tokens, of which 20.4 are read in a ms.
-constexpr Ms Prefill{1460 * 10 / 204};
+constexpr int Adapters = 12;
+constexpr int Slots = 8;      ///< `adapter-slots`.
+constexpr Ms Lateness{10000}; ///< `applied_late`: 2 to 12 s.
+constexpr Ms BackAfter{1500}; ///< The engine starts again so long after.
+constexpr Ms LoadTime{1600};  ///< From its own disk.
+constexpr Ms Run{120};
 
-/// The same for a plain service, whose requests are given up on after 3 s: an
-/// instance is dark for so long, and another one works 220 ms, the site's most.
-constexpr int PlainRequests = 20; ///< One gets no length.
-constexpr Ms PlainDarkTime{1690};
-constexpr Ms PlainWork{220};
-const std::string Half(400, 'x');
+std::string adapter(int Number) { return "a" + std::to_string(Number); }
 
-std::string event(int Number, const std::string &Id) {
-  return "id: " + std::to_string(Number) + "\ndata: piece " +
-         std::to_string(Number) + " of " + Id + "\n\n";
+Json smallConfiguration() {
+  Json C = configuration(1);
+  for (Json &S : C["services"])
+    if (S.at("name") == "model") {
+      Json &E = S["engine"];
+      E["adapter-slots"] = Slots;
+      E["models"] = Json::array({{{"name", "m1"},
+                                  {"weights-mb", 70000},
+                                  {"load-time-s", 2.4},
+                                  {"adapters", Adapters},
+                                  {"adapter-mb", 12}}});
+    }
+  return C;
 }
 
 } // namespace
@@ -40,173 +41,141 @@
   Record Log(Argv[1]);
   Store Platform;
   Platform.listen(ip(200));
-  Platform.put("op/config", configuration(1).dump());
-  std::atomic<int> Prompts{0}; ///< That i-2 has to read, one after the other.
-  std::string Unframed;        ///< Id of the stream that gets no length at i-1.
-  std::atomic<bool> Dark{false};
-  const auto Stream = [&](Engine &E, Socket &S, const Message &Request,
-                          const std::string &Id) {
-    const std::string Last = Request.header("Last-Event-Id");
-    Log.line("run       " + Id + " at " + E.id() +
-             (Last.empty() ? "" : ", goes on after event " + Last));
-    const bool First = E.id() == "i-1";
-    if (First) {
-      sleepFor(Ms(20));
-    } else if (Id == Unframed) {
-      sleepFor(Prefill * Streams); // The last one.
-    } else {
-      sleepFor(Prefill * ++Prompts);
+  Platform.put("op/config", smallConfiguration().dump());
+
+  std::atomic<int> Lost{0};
+  const auto Do = [&](Engine &E, Socket &S, const Message &Request,
+                      const std::string &Id) {
+    const std::string Name = Request.header("X-Primroseworks-Model");
+    const auto Slash = Name.find('/');
+    const std::string Model = Name.substr(0, Slash);
+    const std::string Adapter =
+        Slash == std::string::npos ? "" : Name.substr(Slash + 1);
+    if (!E.holds(Model, Adapter)) {
+      Headers H = {{"X-Primroseworks-Request-Id", Id},
+                   {"X-Primroseworks-Instance-Id", E.id()},
+                   {"X-Primroseworks-Not-Executed", "1"}};
+      return S.send(response(421, H, ""));
     }
-    const bool Chunked = !(First && Id == Unframed);
+    E.beginRun(Model, Adapter);
     Headers H = Engine::answerHeaders(Id);
     H["Content-Type"] = "text/event-stream";
-    if (Chunked)
-      H["Transfer-Encoding"] = "chunked";
+    H["Transfer-Encoding"] = "chunked";
     bool Open = S.send(openResponse(200, H));
-    for (int I = Last.empty() ? 1 : std::stoi(Last) + 1; Open && I <= Events;
-         ++I) {
-      while (First && Dark)
-        sleepFor(Ms(5)); // Until the connection is reset.
-      Open = S.send(Chunked ? chunk(event(I, Id)) : event(I, Id));
-      if (I < Events)
-        sleepFor(EventGap);
+    for (int I = 1; Open && I <= 4; ++I) {
+      sleepFor(Run / 4);
+      Open = S.send(chunk("id: " + std::to_string(I) + "\ndata: x\n\n"));
     }
-    return Open && Chunked && S.send(chunk(""));
+    E.endRun(Model, Adapter);
+    return Open && S.send(chunk(""));
   };
-  Engine One(Platform, "i-1", "model", "tunis-a", {"m1", "m2"}, 64, Stream);
-  Engine Two(Platform, "i-2", "model", "sfax-a", {"m1", "m2"}, 64, Stream);
-  One.start(ip(101));
-  Gateway Front({"front-tunis-a-1", ip(1), "tunis-a", Platform.address()});
-  Front.start();
-  if (!Front.awaitReady(Ms(10000)))
-    finish(2, {&Front});
-  std::atomic<int> Whole{0};
-  std::atomic<int> Cut{0};
+  Engine One(Platform, "i-1", "model", "tunis-a", {"m1"}, 64, Do);
+  One.m_adapterSlots = Slots;
+  One.m_loadTime = LoadTime;
+
+  std::atomic<bool> Late{false}; ///< The next order that fits is late.
+  std::atomic<bool> LateTaken{false};
+  std::mutex Mutex;
+  Json LateOrder;
   std::atomic<int> Broken{0};
-  const auto Ask = [&](int Prompt, const std::string &Id) {
+  One.m_onOrder = [&](const Json &Order, int Status) {
+    Log.line("order     " + Order.dump() + " answered " +
+             std::to_string(Status));
+  };
+  One.m_leavesUnanswered = [&](const Json &Order) {
+    if (!Late || Order.at("operation") != "load" || !Order.contains("adapter"))
+      return false;
+    Late = false;
+    const std::lock_guard<std::mutex> Lock(Mutex);
+    LateOrder = Order;
+    LateTaken = true;
+    Log.line("order     " + Order.dump() + " gets no answer, is late");
+    return true;
+  };
+  One.m_onOverload = [&](const Json &Order) {
+    ++Broken;
+    Log.line("BROKEN    LIMIT: ordered to load more than " +
+             std::to_string(Slots) + " adapters: " + Order.dump());
+  };
+  One.start(ip(10));
+
+  std::vector<std::unique_ptr<Gateway>> Gateways;
+  std::vector<Gateway *> All;
+  const char *ZoneNames[] = {"tunis-a", "sfax-a", "djerba-a"};
+  for (int I = 0; I < 3; ++I) {
+    Gateways.push_back(std::make_unique<Gateway>(
+        GatewayOptions{"front-" + std::to_string(I + 1), ip(100 + I),
+                       ZoneNames[I], Platform.address()}));
+    All.push_back(Gateways.back().get());
+    All.back()->start();
+  }
+  for (Gateway *G : All)
+    if (!G->awaitReady(Ms(10000)))
+      finish(2, All);
+  sleepFor(Ms(4000)); // A leader is there.
+
+  const auto Ask = [&](int Number, int Machine, Ms Deadline) {
     Request R;
     R.m_path = "/stream/x";
-    R.m_deadline = Ms(15000);
-    R.m_headers = {{"X-Primroseworks-Model", "m1"},
-                   {"X-Primroseworks-Token-Usage", "1460,171"},
+    R.m_deadline = Deadline;
+    R.m_headers = {{"X-Primroseworks-Model", "m1/" + adapter(Number)},
+                   {"X-Primroseworks-Token-Usage", "300,20"},
                    {"X-Primroseworks-Prompt-Prefix",
-                    "a1:350," + std::to_string(1000 + Prompt) + ":1110"}};
-    Log.line("sent      " + Id + (Id == Unframed ? " (gets no length)" : ""));
-    const Message M = send(Front.address(), R, Id).m_message;
-    const auto At = M.m_body.rfind("id: ");
-    const int Last =
-        At == std::string::npos ? 0 : std::atoi(M.m_body.c_str() + At + 4);
-    Log.line("answered  " + Id + " " + std::to_string(M.status()) +
-             (M.m_complete ? " complete" : " cut") + ", last event " +
-             std::to_string(Last) + " of " + std::to_string(Events));
-    Whole += M.m_complete && Last == Events ? 1 : 0;
-    Cut += M.m_complete ? 0 : 1;
-    if (M.status() == 200 && M.m_complete && Last < Events) {
-      ++Broken;
-      Log.line("BROKEN    ORDER, MIXED: " + Id +
-               " ends as complete before its last piece");
+                    "b1:100," + newId().substr(8) + ":200"}};
+    const std::string Id = newId();
+    const Answer A = send(All[Machine]->address(), R, Id);
+    Log.line("asked     m1/" + adapter(Number) + " answered " +
+             std::to_string(A.m_message.status()) + ' ' +
+             (A.m_message.status() == 200 ? "" : A.m_message.m_body));
+    return A.m_message.status();
+  };
+  const auto AskUntilServed = [&](int Number) {
+    for (int Try = 0; Try < 40; ++Try) {
+      if (Ask(Number, Try % 3, Ms(3000)) == 200)
+        return true;
+      sleepFor(Ms(250));
     }
+    return false;
   };
-  std::vector<std::thread> Callers;
-  for (int I = 1; I <= EarlierStreams; ++I)
-    Callers.emplace_back(Ask, I, newId());
-  for (std::thread &T : Callers)
-    T.join();
-  Callers.clear();
-  for (int I = 1; I <= Streams; ++I) {
-    const std::string Id = newId();
-    if (I == Streams)
-      Unframed = Id;
-    Callers.emplace_back(Ask, EarlierStreams + I, Id);
-    sleepFor(StartGap);
+  // The engine fills up.
+  for (int I = 1; I <= Slots; ++I)
+    if (!AskUntilServed(I))
+      finish(2, All);
+  sleepFor(Ms(1500)); // The adapters count as idle.
+  Late = Trouble;
+  const double Before = seconds();
+  Ask(9, 0, Ms(3000)); // Needs the place of another one.
+  if (Trouble) {
+    while (!LateTaken && seconds() < Before + 5)
+      sleepFor(Ms(5));
+    if (!LateTaken)
+      finish(2, All);
   }
-  Two.start(ip(102)); // Later, so that all streams begin at i-1.
-  sleepFor(Ms(500));
+  const auto Due = Clock::now() + Lateness;
   if (Trouble) {
-    Log.line("i-1 goes dark");
-    Dark = true;
-    One.m_dark = true;
-    sleepFor(DarkTime);
-    Log.line("i-1 is back: the connections of its former run are reset");
+    Log.line("crash     i-1");
     One.crash(true);
-    One.m_dark = false;
+    sleepFor(BackAfter);
     One.startAgain();
-    Dark = false;
+    Log.line("started   i-1 again under its id; it holds nothing");
   }
-  for (std::thread &T : Callers)
-    T.join();
-  // The plain service.
-  std::atomic<int> BrokenPlain{0};
-  std::atomic<int> WholePlain{0};
-  std::string UnframedPlain;
-  const auto Answer = [&](Engine &E, Socket &S, const Message &,
-                          const std::string &Id) {
-    Log.line("run       " + Id + " at " + E.id());
-    const std::string Body = Half + "half of " + Id + Half;
-    if (Id != UnframedPlain || E.id() != "p-1") {
-      sleepFor(Id == UnframedPlain ? PlainWork : Ms(30));
-      return S.send(response(200, Engine::answerHeaders(Id), Body));
-    }
-    S.send(openResponse(200, Engine::answerHeaders(Id)) + Half);
-    while (Dark)
-      sleepFor(Ms(5)); // Until the connection is reset.
-    S.send(Body.substr(Half.size()));
-    return false;
-  };
-  Engine PlainOne(Platform, "p-1", "plain", "tunis-a", {}, 6, Answer);
-  Engine PlainTwo(Platform, "p-2", "plain", "sfax-a", {}, 6, Answer);
-  PlainOne.start(ip(111));
-  sleepFor(Ms(700));
-  for (int I = 1; I <= PlainRequests; ++I) {
-    const std::string Id = newId();
-    const bool Last = I == PlainRequests;
-    std::thread Reset;
-    if (Last) {
-      UnframedPlain = Id;
-      PlainTwo.start(ip(112));
-      sleepFor(Ms(700));
-      Dark = Trouble;
-      if (Trouble)
-        Reset = std::thread([&] {
-          sleepFor(Ms(100));
-          Log.line("p-1 is dark, after half of its answer");
-          PlainOne.m_dark = true;
-          sleepFor(PlainDarkTime - Ms(100));
-          Log.line("p-1 is back: the connections of its former run are reset");
-          PlainOne.crash(true);
-          Dark = false;
-        });
+  // The adapters of before are asked for again.
+  for (int I = 1; I <= Slots; ++I)
+    if (!AskUntilServed(I)) {
+      Log.line("not served again: " + adapter(I));
+      finish(2, All);
     }
-    Request R;
-    R.m_method = "GET";
-    R.m_path = "/safe/x";
-    R.m_deadline = Ms(3000);
-    Log.line("sent      " + Id + (Last ? " (gets no length)" : ""));
-    const Message M = send(Front.address(), R, Id).m_message;
-    const bool WholeBody = M.m_body == Half + "half of " + Id + Half;
-    Log.line("answered  " + Id + " " + std::to_string(M.status()) + ", " +
-             std::to_string(M.m_body.size()) + " bytes");
-    WholePlain += M.status() == 200 && WholeBody ? 1 : 0;
-    if (M.status() == 200 && M.m_complete && !WholeBody) {
-      ++BrokenPlain;
-      Log.line("BROKEN    MIXED: " + Id + " gets a part of the body as whole");
-    }
-    if (Reset.joinable())
-      Reset.join();
+  if (Trouble) {
+    Log.line("in time   " +
+             std::to_string(
+                 std::chrono::duration<double>(Due - Clock::now()).count()));
+    std::this_thread::sleep_until(Due);
+    const std::lock_guard<std::mutex> Lock(Mutex);
+    const int Status = One.carryOut(LateOrder);
+    Log.line("late order " + LateOrder.dump() +
+             " is carried out: " + std::to_string(Status));
   }
-  std::istringstream Lines(Front.log());
-  for (std::string Line; std::getline(Lines, Line);)
-    if (Line.find(Unframed) != std::string::npos ||
-        Line.find(UnframedPlain) != std::string::npos)
-      Log.line("gateway   " + Line);
-  const std::string Sum =
-      std::to_string(EarlierStreams + Streams) + " streams, " +
-      std::to_string(Whole) + " whole, " + std::to_string(Cut) + " cut, " +
-      std::to_string(Broken) + " end as complete before their last piece; " +
-      std::to_string(PlainRequests) + " plain requests, " +
-      std::to_string(WholePlain) + " whole, " + std::to_string(BrokenPlain) +
-      " got a part as whole";
-  Log.line(Sum);
-  std::cout << Sum << std::endl;
-  finish(Broken + BrokenPlain > 0 ? 1 : Whole + Cut == 0 ? 2 : 0, {&Front});
+  sleepFor(Ms(1000));
+  std::cout << "broken " << Broken << '\n';
+  finish(Broken > 0 ? 1 : 0, All);
 }
--- a/review/lib/lab.cpp
+++ b/review/lib/lab.cpp
@@ -754,10 +754,11 @@
     return S.send(response(200, Own, ""));
   if (Path == "/report") {
     const std::lock_guard<std::mutex> Lock(m_mutex);
-    const Json Report = {
-        {"stage", "unified"},   {"models", models()}, {"busy", m_busy},
-        {"sequence", m_orders}, {"waiting", 0},       {"running", 0},
-        {"kv-used", 0},         {"kv-total", 145819}, {"handles", 0}};
+    const Json Report = {{"stage", "unified"}, {"models", models()},
+                         {"busy", m_busy},     {"sequence", m_orders},
+                         {"waiting", 0},       {"running", 0},
+                         {"kv-used", 0},       {"kv-total", 145819},
+                         {"handles", 0},       {"born", m_born}};
     S.m_lastAnswer = response(200, Own, Report.dump());
     return S.send(S.m_lastAnswer);
   }
