--- a/src/libgateway/connections.cpp
+++ b/src/libgateway/connections.cpp
@@ -85,6 +85,33 @@
             static_cast<unsigned>(SilenceTimeout.count()));
 }
 
+/// Keeps how the connection ended. Waits that were cancelled here do not end
+/// it.
+void Connection::recordEnd(std::error_code Ec) {
+  if (Ec && Ec != asio::error::operation_aborted && !m_end)
+    m_end = Ec;
+}
+
+/// Whether the peer closed its side before anything else ended the connection.
+/// A send after that is answered by a reset, which the kernel reports as a
+/// broken pipe.
+bool Connection::endedInOrder() const {
+  return m_end == asio::error::eof || m_end == asio::error::broken_pipe;
+}
+
+asio::awaitable<std::error_code>
+Connection::connect(asio::ip::tcp::endpoint Peer, Milliseconds SilenceTimeout) {
+  std::error_code Ec;
+  co_await m_socket.async_connect(
+      Peer, asio::redirect_error(asio::use_awaitable, Ec));
+  recordEnd(Ec);
+  if (Ec)
+    co_return Ec;
+  prepareSocket(m_socket, SilenceTimeout);
+  m_open = true;
+  co_return Ec;
+}
+
 asio::awaitable<Result<void>> Connection::send(std::string Head,
                                                std::string_view Body) {
   std::error_code Ec;
@@ -95,6 +122,7 @@
                                                    asio::buffer(Body)};
   co_await asio::async_write(m_socket, Parts,
                              asio::redirect_error(asio::use_awaitable, Ec));
+  recordEnd(Ec);
   if (Ec)
     co_return makeError(ErrorKind::Closed,
                         "the connection was closed while sending: " +
@@ -126,23 +154,39 @@
           "no more of the response in time; wait again or use another "
           "endpoint");
     if (Ec) {
+      recordEnd(Ec);
+      const std::error_code End = m_end ? m_end : Ec;
       m_open = false;
-      m_closedByPeer = isClose(Ec);
-      if (Ec == asio::error::eof && m_reader.finishAtEnd())
+      m_closedByPeer = isClose(End);
+      if (Ec == asio::error::eof && endedInOrder() && m_reader.finishAtEnd())
         co_return boost::outcome_v2::success();
       co_return makeError(
           ErrorKind::Closed,
           "the connection was closed before the end of the response: " +
-              Ec.message() + "; use another endpoint");
+              End.message() + "; use another endpoint");
     }
     m_input.append(Buffer, N);
   }
 }
 
-bool Connection::inputWaiting() {
+InputState Connection::look() {
+  if (!m_open)
+    return InputState::None;
   char Byte = 0;
-  return m_open &&
-         recv(m_socket.native_handle(), &Byte, 1, MSG_PEEK | MSG_DONTWAIT) > 0;
+  const ssize_t N =
+      recv(m_socket.native_handle(), &Byte, 1, MSG_PEEK | MSG_DONTWAIT);
+  if (N > 0)
+    return InputState::Bytes;
+  const int Error = errno;
+  if (N < 0 && (Error == EAGAIN || Error == EWOULDBLOCK || Error == EINTR))
+    return InputState::None;
+  recordEnd(N == 0 ? make_error_code(asio::error::eof)
+                   : std::error_code(Error, asio::system_category()));
+  return InputState::Ended;
+}
+
+void Connection::waitForInput(std::function<void(std::error_code)> OnInput) {
+  m_socket.async_wait(asio::ip::tcp::socket::wait_read, std::move(OnInput));
 }
 
 void Connection::interrupt() {
@@ -171,15 +215,11 @@
     }
     // The connection is unusable if the peer has sent data or closed it and the
     // event loop has not processed that yet.
-    char Byte = 0;
-    const ssize_t N =
-        recv(C->m_socket.native_handle(), &Byte, 1, MSG_PEEK | MSG_DONTWAIT);
-    if (N >= 0 || (errno != EAGAIN && errno != EWOULDBLOCK)) {
+    if (C->look() != InputState::None) {
       C->close();
       continue;
     }
-    std::error_code Ignored;
-    C->m_socket.cancel(Ignored);
+    C->interrupt();
     return C;
   }
   return nullptr;
@@ -214,19 +254,13 @@
     co_return make_error_code(std::errc::invalid_argument);
   Watchdog Guard(m_io);
   Guard.arm(C, std::chrono::steady_clock::now() + Timeout);
-  std::error_code Ec;
   ++m_opened;
-  co_await C->m_socket.async_connect(
-      Target.value(), asio::redirect_error(asio::use_awaitable, Ec));
+  std::error_code Ec = co_await C->connect(Target.value(), SilenceTimeout);
   Guard.disarm();
   if (Guard.fired())
     Ec = asio::error::timed_out;
-  if (Ec) {
+  if (Ec)
     C->close();
-    co_return Ec;
-  }
-  prepareSocket(C->m_socket, SilenceTimeout);
-  C->m_open = true;
   co_return Ec;
 }
 
@@ -245,12 +279,11 @@
 
 void ConnectionPool::watchIdle(const ConnectionPtr &C) {
   const std::uint64_t Generation = C->m_idleGeneration;
-  C->m_socket.async_wait(asio::ip::tcp::socket::wait_read,
-                         [C, Generation](std::error_code Ec) {
-                           // Data received while idle belongs to no request.
-                           if (!Ec && C->m_idleGeneration == Generation)
-                             C->close();
-                         });
+  C->waitForInput([C, Generation](std::error_code Ec) {
+    // Data received while idle belongs to no request.
+    if (!Ec && C->m_idleGeneration == Generation)
+      C->close();
+  });
 }
 
 void ConnectionPool::release(const ConnectionPtr &C, TimePoint Now) {
--- a/src/libgateway/exchangesilence.cpp
+++ b/src/libgateway/exchangesilence.cpp
@@ -43,10 +43,12 @@
 
 /// Whether more of the response, or its end, has arrived.
 bool isReadable(const Attempt &A) {
-  char Byte = 0;
-  return A.m_connection->m_open &&
-         recv(A.m_connection->m_socket.native_handle(), &Byte, 1,
-              MSG_PEEK | MSG_DONTWAIT) >= 0;
+  return A.m_connection->look() != InputState::None;
+}
+
+/// Whether more of the response has arrived.
+bool hasGoneOn(const Attempt &A) {
+  return A.m_connection->look() == InputState::Bytes;
 }
 
 } // namespace
@@ -179,7 +181,7 @@
   std::vector<Attempt> Ended = std::exchange(m_silentAttempts, {});
   std::vector<bool> WentOn;
   for (Attempt &A : Ended) {
-    WentOn.push_back(A.m_connection->inputWaiting());
+    WentOn.push_back(hasGoneOn(A));
     if (WentOn.back())
       recordWentOn(A);
     A.m_connection->close();
@@ -213,7 +215,7 @@
       .text("id", m_requestMetadata.m_id)
       .text("endpoint", m_attempt.m_choice.m_endpoint)
       .real("silent_ms", toMillis(Now - m_attempt.lastSign()))
-      .number("went_on", m_attempt.m_connection->inputWaiting() ? 1 : 0)
+      .number("went_on", hasGoneOn(m_attempt) ? 1 : 0)
       .number("sends", m_sentAttempts);
   limitAttempt(std::min<TimePoint>(latestEnd(), Now + StreamStallTimeout));
   watchSilentAttempts(Now);
