--- a/src/libhttp/httpclient.cpp
+++ b/src/libhttp/httpclient.cpp
@@ -142,6 +142,12 @@
       });
 }
 
+/// Whether nothing but the end of the connection ends the body of an answer.
+bool endsWithConnection(const HttpReply &Reply) {
+  return Reply.header("Content-Length").empty() &&
+         Reply.header("Transfer-Encoding").empty();
+}
+
 class PooledHttpClient final : public HttpClient {
 public:
   PooledHttpClient(std::string Host, int Port)
@@ -266,7 +272,10 @@
     const httplib::Result Sent =
         Conn.m_http.send(makeRequest(Call, Body, Reply));
     m_watch->remove(Watched);
-    if (!Sent)
+    // A call that the watch ended looks to the library as if its server had
+    // closed the connection.
+    const bool EndedHere = Watched.m_expired || Watched.m_stopped;
+    if (!Sent || (EndedHere && endsWithConnection(Reply)))
       explain(Reply, Sent.error(), Watched, Silence,
               std::chrono::steady_clock::now() - Start);
     return Reply;
@@ -275,7 +284,9 @@
   static void explain(HttpReply &Reply, httplib::Error Failure,
                       const WatchedCall &Watched, Milliseconds Silence,
                       Duration Taken) {
-    Reply.m_detail = httplib::to_string(Failure);
+    Reply.m_detail = Failure == httplib::Error::Success
+                         ? "ended before the end of the answer"
+                         : httplib::to_string(Failure);
     // The library connects before it writes, so a connection that was never
     // made sent nothing. A failed write may have sent a part.
     if (Watched.m_stopped || Failure == httplib::Error::Canceled)
--- a/src/libhttp/httpclient_test.cpp
+++ b/src/libhttp/httpclient_test.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <arpa/inet.h>
+#include <fcntl.h>
 #include <functional>
 #include <gtest/gtest.h>
 #include <netinet/in.h>
@@ -109,6 +110,15 @@
     ;
 }
 
+/// Resets a connection; its descriptor stays valid.
+void resetConnection(int Socket) {
+  const linger AtOnce{1, 0};
+  ::setsockopt(Socket, SOL_SOCKET, SO_LINGER, &AtOnce, sizeof AtOnce);
+  const int Null = ::open("/dev/null", O_RDONLY);
+  ::dup2(Null, Socket);
+  ::close(Null);
+}
+
 std::unique_ptr<pvt::HttpClient> clientOf(const std::string &Url) {
   auto Made = pvt::createHttpClient(Url);
   EXPECT_TRUE(Made);
@@ -223,6 +233,54 @@
   }
 }
 
+// Guards against a part of an answer without a length that passes for whole:
+// the client itself ended the connection, and read that as the server's end.
+TEST(HttpClient, AnswerWithoutLengthIsNotWholeIfTheCallEnds) {
+  RawServer Server([](int Socket, int) {
+    readRequest(Socket);
+    send(Socket, "HTTP/1.1 200 OK\r\n\r\nhalf");
+    holdSilently(Socket);
+  });
+  const auto Client = clientOf(Server.url());
+  EXPECT_EQ(Client->call(post(Milliseconds(200))).m_failure,
+            HttpFailure::Timeout);
+  std::atomic<bool> Stop{false};
+  std::thread Stopper([&Stop] {
+    std::this_thread::sleep_for(Milliseconds(100));
+    Stop = true;
+  });
+  EXPECT_EQ(Client->call(post(Milliseconds(2000)), nullptr, &Stop).m_failure,
+            HttpFailure::Cancelled);
+  Stopper.join();
+}
+
+// Such an answer is whole once the server closes, however late it is then.
+TEST(HttpClient, AnswerWithoutLengthIsWholeAtTheServersEnd) {
+  RawServer Server([](int Socket, int) {
+    readRequest(Socket);
+    send(Socket, "HTTP/1.1 200 OK\r\n\r\nhalf");
+    std::this_thread::sleep_for(Milliseconds(100));
+    send(Socket, " and half");
+  });
+  const HttpReply Reply =
+      clientOf(Server.url())->call(post(Milliseconds(2000)));
+  EXPECT_FALSE(Reply.m_failure) << Reply.m_detail;
+  EXPECT_EQ(Reply.m_body, "half and half");
+}
+
+// Guards against a part of an answer without a length that passes for whole
+// because its connection was reset.
+TEST(HttpClient, AnswerWithoutLengthIsNotWholeAfterAReset) {
+  RawServer Server([](int Socket, int) {
+    readRequest(Socket);
+    send(Socket, "HTTP/1.1 200 OK\r\n\r\nhalf");
+    std::this_thread::sleep_for(Milliseconds(100));
+    resetConnection(Socket);
+  });
+  EXPECT_EQ(clientOf(Server.url())->call(post(Milliseconds(2000))).m_failure,
+            HttpFailure::Broken);
+}
+
 // Guards against a call that waits for ever on a silent connection.
 TEST(HttpClient, SilenceEndsTheCall) {
   RawServer Server([](int Socket, int) { holdSilently(Socket); });
