--- a/testsuite/soak/faults.cpp
+++ b/testsuite/soak/faults.cpp
@@ -172,6 +172,8 @@
   F.*Fault = 0.3;
   if (Fault == &EngineFaults::m_repeatRefusalProbability)
     F.m_rejectProbability = 0.3;
+  if (Fault == &EngineFaults::m_rejectProbability)
+    F.m_unstatedRefusalProbability = 0.1;
   note(fmt::format("{} {} for {} ms", E.id(), Name, Time.count()));
   setEngineFaults(E, F, Time);
 }
