--- a/src/libgateway/callers.cpp
+++ b/src/libgateway/callers.cpp
@@ -9,12 +9,6 @@
 #include <asio/write.hpp>
 #include <fmt/format.h>
 
-#if defined(__GNUC__) && !defined(__clang__)
-// False positive of g++ 12: it inlines only one of Asio's pair of allocation
-// functions for coroutine frames and reports the other as mismatched.
-#pragma GCC diagnostic ignored "-Wmismatched-new-delete"
-#endif
-
 namespace primroseworks::gateway {
 
 namespace {
--- a/src/libgateway/tasks.cpp
+++ b/src/libgateway/tasks.cpp
@@ -7,12 +7,6 @@
 #include <memory>
 #include <string>
 
-#if defined(__GNUC__) && !defined(__clang__)
-// g++ 12 inlines only one of Asio's allocation functions for coroutine frames
-// and then reports the other as mismatched.
-#pragma GCC diagnostic ignored "-Wmismatched-new-delete"
-#endif
-
 namespace primroseworks::gateway {
 
 namespace {
--- a/testsuite/soak/soak.cpp
+++ b/testsuite/soak/soak.cpp
@@ -13,12 +13,6 @@
 #include <fmt/format.h>
 #include <iostream>
 
-#if defined(__GNUC__) && !defined(__clang__)
-// g++ 12 inlines one half of Asio's pair of allocation functions for coroutine
-// frames and takes the other for a foreign one.
-#pragma GCC diagnostic ignored "-Wmismatched-new-delete"
-#endif
-
 namespace primroseworks::soak {
 
 namespace {
