--- a/testsuite/soak/faults.cpp
+++ b/testsuite/soak/faults.cpp
@@ -173,7 +173,7 @@
   if (Fault == &EngineFaults::m_repeatRefusalProbability)
     F.m_rejectProbability = 0.3;
   if (Fault == &EngineFaults::m_rejectProbability)
-    F.m_unstatedRefusalProbability = 0.1;
+    F.m_unstatedRefusalProbability = 0.3;
   note(fmt::format("{} {} for {} ms", E.id(), Name, Time.count()));
   setEngineFaults(E, F, Time);
 }
