libaccounts: types of client accounts and their fields in the gateway

Cause: accounts, quotas, fair queueing and placement of requests by account are built side by side and need the same types. Change: ClientAccount and QuotaLimit; fields without effect in Route, Configuration, ChoiceQuery and AttemptMetadata. Measured: nothing; no behaviour changes.

--- a/src/libgateway/chooser.h
+++ b/src/libgateway/chooser.h
@@ -21,6 +21,7 @@
   std::string m_service;
   std::string m_model;
   std::string m_adapter;
+  std::string m_account; ///< Name of the client account; empty if none.
   RequestSize m_size;
   unsigned m_rank = 0;
   std::uint64_t m_affinity = 0; ///< Hash of the shared segments of the prompt.
--- a/src/libgateway/dialect.h
+++ b/src/libgateway/dialect.h
@@ -31,6 +31,7 @@
   unsigned m_rank = 0;
   std::optional<std::uint64_t> m_lastEventId;
   bool m_engine = false; ///< False for plain services.
+  std::string m_account; ///< Name of the client account; empty if none.
 };
 
 class Dialect {
--- a/src/libgateway/types.h
+++ b/src/libgateway/types.h
@@ -3,6 +3,7 @@
 #ifndef PRIMROSEWORKS_LIBGATEWAY_TYPES_H
 #define PRIMROSEWORKS_LIBGATEWAY_TYPES_H
 
+#include "libaccounts/account.h"
 #include "primroseworks/names.h"
 #include "primroseworks/time.h"
 
@@ -48,6 +49,7 @@
   unsigned m_maxAttempts = 1;
   unsigned m_rank = 0;      ///< 0 is the most urgent.
   bool m_resumable = false; ///< A stream may continue at another endpoint.
+  bool m_public = false;    ///< Requests need no API key.
   /// Maximum pause between events of a stream that is on time.
   Milliseconds m_gapTarget{0};
 
@@ -99,6 +101,7 @@
   std::vector<Route> m_routes;
   std::map<std::string, Service> m_services;
   CallerLimits m_limits;
+  AccountTablePtr m_accounts; ///< Null if the configuration has no accounts.
 
   /// Returns the route of Host whose path prefix is the longest match for Path,
   /// or null if none matches.
