libprefill: the pauses of running streams limit the prompts of an engine

Several prompts reached one engine within the time of one prefill, and slow engines counted as fast as the others. Change: prefill pace by engine; a prompt is sent to an engine with prompts still to read only if all of them take at most 0.45 of the longest pause that its streams allow; an engine without running streams is preferred for a long prompt. Without gap targets in the configuration the rule is as before.

--- a/src/libgateway/chooser.cpp
+++ b/src/libgateway/chooser.cpp
@@ -30,10 +30,17 @@
   return Position(A) > Position(B);
 }
 
+/// Prefill at an engine if it is sent the request now.
+PrefillWork prefillWork(const ChoiceQuery &Query, const EndpointLoad &Load,
+                        double MsPerToken) {
+  return {MsPerToken * static_cast<double>(Load.m_pendingPrefillTokens),
+          MsPerToken * static_cast<double>(Query.m_size.m_promptTokens)};
+}
+
 /// Whether the endpoint has capacity for a request of this rank.
 bool hasCapacity(const ChoiceQuery &Query, const Service &Target,
                  const EndpointLoad &Load, unsigned Slots,
-                 double PrefillMsPerToken) {
+                 const PrefillWork &Prefill) {
   if (!Target.m_engine)
     return Load.m_requests < Slots + MaxPlainQueueDepth;
   double MaxRequests = Slots;
@@ -41,8 +48,7 @@
     MaxRequests *= MaxLowRankShare;
   if (Load.m_requests >= MaxRequests)
     return false;
-  if (PrefillMsPerToken * static_cast<double>(Load.m_pendingPrefillTokens) >
-      MaxPrefillBacklogMs)
+  if (!mayPrefill(Prefill, Target.m_gapTarget))
     return false;
   if (Load.m_requests == 0 || Target.m_engine->m_kvTokens == 0)
     return true;
@@ -66,17 +72,19 @@
 
 double Chooser::scoreMs(const ChoiceQuery &Query, const Endpoint &E,
                         const EndpointLoad &Load, unsigned Slots,
-                        double PrefillMsPerToken) const {
+                        const PrefillWork &Prefill,
+                        Milliseconds GapTarget) const {
   double BaseMs = E.m_firstByteMs > 0 ? E.m_firstByteMs : DefaultLatencyMs;
   if (!Query.m_model.empty())
-    BaseMs +=
-        PrefillMsPerToken * static_cast<double>(Load.m_pendingPrefillTokens);
+    BaseMs += Prefill.m_pendingMs;
   const double Fill = static_cast<double>(Load.m_requests) / Slots;
   double ScoreMs =
       BaseMs * (1 + Fill) +
       distancePenaltyMs(Query.m_domain.empty() ? m_domain : Query.m_domain,
                         E.m_record.m_failureDomain);
   ScoreMs += StallPenaltyMs * E.m_stallShare + E.m_intervalMs;
+  if (pausesStreams(Prefill, GapTarget))
+    ScoreMs += StallPenaltyMs * Fill;
   if (Fill > 1)
     ScoreMs += BaseMs * (Fill - 1) * 2;
   if (Query.m_affinity != 0 && !Query.m_model.empty()) {
@@ -101,10 +109,10 @@
     const Endpoint *m_endpoint;
     EndpointLoad m_load;
     unsigned m_slots;
+    PrefillWork m_prefill;
     bool m_avoided;
   };
   std::vector<Candidate> Candidates;
-  const double PrefillMsPerToken = Table.prefillMsPerToken(Query.m_service);
   Choice Out;
   auto RecordObstacle = [&Out](ChoiceObstacle O) {
     // Reports the obstacle that is closest to success: it tells what to change.
@@ -158,11 +166,14 @@
       Slots = Target.m_engine->m_slots;
     Slots = std::max(1U, Slots);
     const EndpointLoad Load = E.load();
-    if (!hasCapacity(Query, Target, Load, Slots, PrefillMsPerToken)) {
+    const PrefillWork Prefill = prefillWork(
+        Query, Load, Table.prefillPace().msPerToken(Query.m_service, Id));
+    if (!hasCapacity(Query, Target, Load, Slots, Prefill)) {
       RecordObstacle(ChoiceObstacle::Full);
       continue;
     }
-    Candidates.push_back({&E, Load, Slots, E.m_failureShare > MaxFailureShare});
+    Candidates.push_back(
+        {&E, Load, Slots, Prefill, E.m_failureShare > MaxFailureShare});
   }
   if (Candidates.empty()) {
     if (Out.m_obstacle == ChoiceObstacle::Paused)
@@ -184,8 +195,8 @@
                        C.m_endpoint->m_localLoad.m_requests == 0;
     if (C.m_avoided && !AllAvoided && !Probe)
       continue;
-    double ScoreMs =
-        scoreMs(Query, *C.m_endpoint, C.m_load, C.m_slots, PrefillMsPerToken);
+    double ScoreMs = scoreMs(Query, *C.m_endpoint, C.m_load, C.m_slots,
+                             C.m_prefill, Target.m_gapTarget);
     if (C.m_avoided && !AllAvoided)
       ScoreMs -= 1000; // A due probe takes precedence.
     else
--- a/src/libgateway/chooser.h
+++ b/src/libgateway/chooser.h
@@ -10,6 +10,7 @@
 #define PRIMROSEWORKS_LIBGATEWAY_CHOOSER_H
 
 #include "libgateway/endpoints.h"
+#include "libprefill/prefillbound.h"
 
 #include <functional>
 #include <random>
@@ -99,10 +100,6 @@
 inline constexpr double MaxLowRankShare = 0.7;
 /// Maximum share of an engine's KV memory that its known requests may fill.
 inline constexpr double MaxKvFill = 0.95;
-/// Maximum prefill backlog of an engine that is sent another prompt, as prefill
-/// time. Requests beyond it wait in the gateway instead, where more urgent ones
-/// can overtake them and another engine can take them.
-inline constexpr double MaxPrefillBacklogMs = 250;
 /// Maximum number of requests queued at an endpoint of a plain service, beyond
 /// its slots.
 inline constexpr unsigned MaxPlainQueueDepth = 6;
@@ -120,7 +117,7 @@
                            const std::string &To) const;
   double scoreMs(const ChoiceQuery &Query, const Endpoint &E,
                  const EndpointLoad &Load, unsigned Slots,
-                 double PrefillMsPerToken) const;
+                 const PrefillWork &Prefill, Milliseconds GapTarget) const;
 
   std::string m_domain;
   std::map<std::string, std::string> m_regions;
--- a/src/libgateway/endpoints.cpp
+++ b/src/libgateway/endpoints.cpp
@@ -106,7 +106,7 @@
     return;
   m_holdersValid = false;
   if (KeepUntil <= Now)
-    m_endpoints.erase(It);
+    erase(It);
   else if (!It->second.m_keptUntil)
     It->second.m_keptUntil = KeepUntil;
 }
@@ -145,8 +145,7 @@
   for (auto It = m_endpoints.begin(); It != m_endpoints.end();) {
     Endpoint &E = It->second;
     if (E.m_keptUntil && *E.m_keptUntil <= Now) {
-      It = m_endpoints.erase(It);
-      m_holdersValid = false;
+      It = erase(It);
       continue;
     }
     std::vector<std::string> Expired;
@@ -237,23 +236,10 @@
     E->m_coordinatedLoad -= Ended;
 }
 
-void EndpointTable::onFirstEvent(const std::string &Service, Duration Latency,
+void EndpointTable::onFirstEvent(const std::string &Id, Duration Latency,
                                  std::uint64_t Tokens) {
-  if (Tokens == 0)
-    return;
-  const double PrefillMs = std::max(0.0, toMillis(Latency) - FirstEventBaseMs);
-  const double Sample = std::clamp(PrefillMs / static_cast<double>(Tokens),
-                                   MinPrefillMsPerToken, MaxPrefillMsPerToken);
-  double &Mean =
-      m_prefillMsPerToken.try_emplace(Service, DefaultPrefillMsPerToken)
-          .first->second;
-  Mean += PrefillWeight * (Sample - Mean);
-}
-
-double EndpointTable::prefillMsPerToken(const std::string &Service) const {
-  const auto It = m_prefillMsPerToken.find(Service);
-  return It == m_prefillMsPerToken.end() ? DefaultPrefillMsPerToken
-                                         : It->second;
+  if (const Endpoint *E = find(Id))
+    m_prefillPace.onFirstEvent(E->m_record.m_service, Id, Latency, Tokens);
 }
 
 void EndpointTable::onHealth(const std::string &Id, AttemptHealth Health,
@@ -351,8 +337,16 @@
 }
 
 void EndpointTable::onReplaced(const std::string &Id) {
-  m_endpoints.erase(Id);
+  const auto It = m_endpoints.find(Id);
+  if (It != m_endpoints.end())
+    erase(It);
+}
+
+EndpointTable::EndpointMap::iterator
+EndpointTable::erase(EndpointMap::iterator It) {
   m_holdersValid = false;
+  m_prefillPace.forget(It->first);
+  return m_endpoints.erase(It);
 }
 
 } // namespace primroseworks::gateway
--- a/src/libgateway/endpoints.h
+++ b/src/libgateway/endpoints.h
@@ -6,6 +6,7 @@
 #include "libgateway/endpointnotice.h"
 #include "libgateway/engineledger.h"
 #include "libgateway/types.h"
+#include "libprefill/prefillpace.h"
 
 #include <algorithm>
 #include <map>
@@ -124,15 +125,6 @@
 inline constexpr double StallWeight = 0.2;
 inline constexpr double IntervalWeight = 0.03;
 inline constexpr double MeanIntervalWeight = 0.3; ///< Of a whole stream's mean.
-/// Prefill time per prompt token: the value before the first measurement, and
-/// the limits of a sample. They keep one stalled engine, whose samples count
-/// for the whole service, from blocking requests to the other engines.
-inline constexpr double DefaultPrefillMsPerToken = 0.06;
-inline constexpr double MinPrefillMsPerToken = 0.01;
-inline constexpr double MaxPrefillMsPerToken = 0.3;
-inline constexpr double PrefillWeight = 0.05;
-/// Part of the first event's latency that does not depend on the prompt.
-inline constexpr double FirstEventBaseMs = 30;
 /// Pause after an endpoint refused a connection: so long times the number of
 /// refusals in a row, but not over the maximum. The next run of its process is
 /// another incarnation, which is not paused.
@@ -201,10 +193,10 @@
   /// Takes a sample of the prefill time: the latency of a stream's first event,
   /// and the prompt tokens to process until then, its own and those ahead of
   /// it.
-  void onFirstEvent(const std::string &Service, Duration Latency,
+  void onFirstEvent(const std::string &Id, Duration Latency,
                     std::uint64_t Tokens);
-  /// Mean prefill time per prompt token on the service's engines.
-  double prefillMsPerToken(const std::string &Service) const;
+  /// Prefill time per prompt token of the engines, as their answers show it.
+  const PrefillPace &prefillPace() const { return m_prefillPace; }
   void onHealth(const std::string &Id, AttemptHealth Health, TimePoint Now);
   /// The endpoint of a silent attempt has gone on: its silence was no failure.
   void onWentOn(const std::string &Id);
@@ -242,15 +234,17 @@
   }
 
 private:
-  std::map<std::string, Endpoint> m_endpoints; ///< By id.
+  using EndpointMap = std::map<std::string, Endpoint>;
+  EndpointMap::iterator erase(EndpointMap::iterator It);
+
+  EndpointMap m_endpoints; ///< By id.
   EndpointNotices m_notices;
   using ServiceAndModel = std::pair<std::string, std::string>;
   /// Index of m_endpoints, built again when m_holdersValid is false. An empty
   /// model stands for all endpoints of the service.
   mutable std::map<ServiceAndModel, std::vector<const Endpoint *>> m_holders;
   mutable bool m_holdersValid = false;
-  std::map<std::string, double>
-      m_prefillMsPerToken; ///< By service; decaying mean.
+  PrefillPace m_prefillPace;
 };
 
 } // namespace primroseworks::gateway
--- a/src/libgateway/exchangestream.cpp
+++ b/src/libgateway/exchangestream.cpp
@@ -14,7 +14,8 @@
   m_attempt.m_prefillDone = true;
   m_core.m_endpoints.onPrefillDone(m_attempt.m_choice.m_endpoint,
                                    m_query.m_size, m_attempt.m_placedBy);
-  m_core.m_endpoints.onFirstEvent(m_query.m_service, Now - m_attempt.m_sentAt,
+  m_core.m_endpoints.onFirstEvent(m_attempt.m_choice.m_endpoint,
+                                  Now - m_attempt.m_sentAt,
                                   m_attempt.m_choice.m_pendingPrefillTokens +
                                       m_query.m_size.m_promptTokens);
   if (m_attempt.m_placedBy == PlacedBy::Coordinator) {
--- a/src/libgateway/scheduler.cpp
+++ b/src/libgateway/scheduler.cpp
@@ -146,7 +146,7 @@
   if (Observation.m_firstByteMs > 0)
     Table.onFirstByte(Id, FromMs(Observation.m_firstByteMs));
   if (Observation.m_firstEventMs > 0)
-    Table.onFirstEvent(Query.m_service, FromMs(Observation.m_firstEventMs),
+    Table.onFirstEvent(Id, FromMs(Observation.m_firstEventMs),
                        Request.m_choice.m_pendingPrefillTokens +
                            Query.m_size.m_promptTokens);
   if (Observation.m_intervalMs > 0)
--- a/src/libgateway/types.h
+++ b/src/libgateway/types.h
@@ -85,6 +85,9 @@
   std::string m_name;
   unsigned m_maxConnections = 100;    ///< Per endpoint, for all VMs together.
   std::optional<EngineSpec> m_engine; ///< Empty for plain services.
+  /// Shortest of the longest pauses that routes to it allow between the events
+  /// of a stream; zero if no route states one.
+  Milliseconds m_gapTarget{0};
 };
 
 /// Limits on the size of callers' requests and on the time to send them.
