libgateway: endpoints at their adaptive limit count as full (endpoints.adaptive-pace)

Cause: an engine that started, or recovers, shows no load and is filled while it is several times slower. Change: EndpointPacing keeps one limit for each incarnation in the endpoint table, from first events, whole answers, refusals and health, in a coordinator also of remote attempts; the chooser has one more condition, and the obstacle stays Full. The latencies of an idle endpoint that was slow are forgotten after 1 s. Log lines endpoint_limited and endpoint_unlimited, events endpoint_limited_CAUSE, endpoint_unlimited and waited_for_endpoint_limit, state endpoints_limited. Setting endpoints.adaptive-pace, default false: then nothing of it runs.

--- a/src/libgateway/chooser.cpp
+++ b/src/libgateway/chooser.cpp
@@ -162,6 +162,11 @@
       RecordObstacle(ChoiceObstacle::Full);
       continue;
     }
+    if (E.atPaceLimit(Load)) {
+      RecordObstacle(ChoiceObstacle::Full);
+      Out.m_limited = true;
+      continue;
+    }
     Candidates.push_back({&E, Load, Slots, E.m_failureShare > MaxFailureShare});
   }
   if (Candidates.empty()) {
--- a/src/libgateway/chooser.h
+++ b/src/libgateway/chooser.h
@@ -41,6 +41,14 @@
   std::uint64_t m_jitterSeed = 0; ///< Different for each request.
 };
 
+/// The sample that a complete answer, which is no stream, gives for the
+/// adaptive limit of its endpoint. An engine's work is then the whole request.
+inline AnswerSample wholeAnswer(const ChoiceQuery &Query, Duration Latency) {
+  if (Query.m_size.m_promptTokens == 0)
+    return {Query.m_model, Latency, 0};
+  return {Query.m_model + " whole", Latency, Query.m_size.m_kvTokens};
+}
+
 /// Why no endpoint was chosen.
 enum class ChoiceObstacle {
   None,
@@ -69,6 +77,8 @@
   /// Known requests at the endpoint, of this VM and of its peers.
   unsigned m_load = 0;
   unsigned m_candidates = 0; ///< Number of eligible endpoints.
+  /// An endpoint with capacity was left out because of its adaptive limit.
+  bool m_limited = false;
   /// When the first paused endpoint takes requests again, if the obstacle is
   /// Paused, or Excluded and an excluded endpoint is paused.
   std::optional<TimePoint> m_pausedUntil;
--- a/src/libgateway/core.cpp
+++ b/src/libgateway/core.cpp
@@ -34,6 +34,8 @@
       m_random(std::random_device{}()) {
   m_pool.limitMemory(m_memory);
   m_memory.setOnCut([this](const MemoryCut &Cut) { onMemoryCut(Cut); });
+  if (m_settings.m_adaptivePace)
+    m_endpoints.enablePacing([this](const PaceChange &C) { onPaceChange(C); });
 }
 
 /// Tells that a request or a response was cut, so that this process does not
@@ -49,6 +51,24 @@
       .number("limit", static_cast<std::int64_t>(m_memory.limit()));
 }
 
+/// Tells that an endpoint entered or left the limited state.
+void Core::onPaceChange(const PaceChange &Change) {
+  const std::string Cause(nameOf(PaceCauseNames, Change.m_cause));
+  m_metrics->count(Change.m_limited ? "endpoint_limited_" + Cause
+                                    : "endpoint_unlimited");
+  decisionlog::line(LogClass::KnownState, Change.m_limited
+                                              ? "endpoint_limited"
+                                              : "endpoint_unlimited")
+      .text("endpoint", Change.m_endpoint)
+      .number("incarnation", static_cast<std::int64_t>(Change.m_incarnation))
+      .text("cause", Cause)
+      .number("limit", Change.m_limit)
+      .number("slots", Change.m_slots)
+      .real("floor_ms", Change.m_floorMs)
+      .real("latency_ms", Change.m_latencyMs)
+      .real("ratio", Change.m_ratio);
+}
+
 Choice Core::choose(const ChoiceQuery &Query, TimePoint Now) const {
   if (!m_configuration)
     return Choice();
@@ -88,6 +108,7 @@
   if (Out.m_expectedWait > Limits.m_maxWait ||
       Limits.m_maxWait <= Duration::zero())
     return Out;
+  const bool AtPaceLimit = fullByPaceLimit(Query, Now);
   Out.m_ticket =
       m_queue.add(std::move(Query), Out.m_obstacle, Limits.m_onTimeUntil, Now);
   if (Out.m_ticket == 0) {
@@ -106,10 +127,21 @@
   if (!m_waiters.count(Out.m_ticket)) {
     Out.m_ticket = 0;
     Out.m_obstacle = ChoiceObstacle::None;
+  } else if (AtPaceLimit) {
+    m_metrics->count("waited_for_endpoint_limit");
   }
   return Out;
 }
 
+/// Whether an endpoint with capacity for the request is left out because of its
+/// adaptive limit, and no other one is available.
+bool Core::fullByPaceLimit(const ChoiceQuery &Query, TimePoint Now) const {
+  if (!m_endpoints.pacingEnabled())
+    return false;
+  const Choice C = choose(Query, Now);
+  return C.m_obstacle == ChoiceObstacle::Full && C.m_limited;
+}
+
 ChoiceObstacle Core::cancel(TicketId Ticket) {
   ChoiceObstacle Obstacle = ChoiceObstacle::Full;
   m_queue.visit([&](const struct Ticket &T) {
--- a/src/libgateway/core.h
+++ b/src/libgateway/core.h
@@ -186,6 +186,8 @@
   void strikeParts(const FoundEnd &End, const BrokenRequest &Request,
                    std::uint64_t Crash, TimePoint Now);
   void onMemoryCut(const MemoryCut &Cut);
+  void onPaceChange(const PaceChange &Change);
+  bool fullByPaceLimit(const ChoiceQuery &Query, TimePoint Now) const;
 
   std::map<std::string, RetryWindow> m_retries; ///< By service.
 };
--- a/src/libgateway/endpoints.cpp
+++ b/src/libgateway/endpoints.cpp
@@ -97,6 +97,7 @@
   if (IsNew ||
       (!E.m_controlledHere && Now - E.m_lastOrderTime > OrderSettleTime))
     E.m_held = Record.m_models;
+  m_pacing.onRecord(E, IsNew, Now);
 }
 
 void EndpointTable::onRemoved(const std::string &Id, TimePoint KeepUntil,
@@ -105,9 +106,10 @@
   if (It == m_endpoints.end())
     return;
   m_holdersValid = false;
-  if (KeepUntil <= Now)
+  if (KeepUntil <= Now) {
+    m_pacing.onRemoved(It->second, Now);
     m_endpoints.erase(It);
-  else if (!It->second.m_keptUntil)
+  } else if (!It->second.m_keptUntil)
     It->second.m_keptUntil = KeepUntil;
 }
 
@@ -142,9 +144,11 @@
 void EndpointTable::expire(TimePoint Now) {
   m_notices.expire(
       [this](const std::string &Id) { return m_endpoints.count(Id) > 0; }, Now);
+  m_pacing.beginTick(Now);
   for (auto It = m_endpoints.begin(); It != m_endpoints.end();) {
     Endpoint &E = It->second;
     if (E.m_keptUntil && *E.m_keptUntil <= Now) {
+      m_pacing.onRemoved(E, Now);
       It = m_endpoints.erase(It);
       m_holdersValid = false;
       continue;
@@ -158,6 +162,7 @@
     for (auto R = E.m_rejectedArtifacts.begin();
          R != E.m_rejectedArtifacts.end();)
       R = R->second <= Now ? E.m_rejectedArtifacts.erase(R) : std::next(R);
+    m_pacing.onTick(E, Now);
     ++It;
   }
 }
@@ -275,6 +280,31 @@
     E->m_nextProbe = Now + AvoidedProbeInterval;
   if (Health == AttemptHealth::Overrun)
     E->m_overrunAt = Now;
+  if (!Failed)
+    m_pacing.onGood(*E, Now);
+  else
+    m_pacing.onTrouble(*E,
+                       Health == AttemptHealth::Silent ? PaceTrouble::Silent
+                                                       : PaceTrouble::Failed,
+                       Now);
+}
+
+void EndpointTable::onAnswer(const std::string &Id, const AnswerSample &Answer,
+                             TimePoint Now) {
+  if (Endpoint *E = find(Id))
+    m_pacing.onAnswer(*E, Answer, Now);
+}
+
+void EndpointTable::onRefused(const std::string &Id, TimePoint Now) {
+  if (Endpoint *E = find(Id))
+    m_pacing.onTrouble(*E, PaceTrouble::Refused, Now);
+}
+
+std::size_t EndpointTable::limitedEndpoints() const {
+  return static_cast<std::size_t>(std::count_if(
+      m_endpoints.begin(), m_endpoints.end(), [](const auto &Entry) {
+        return Entry.second.m_pace && Entry.second.m_pace->limited();
+      }));
 }
 
 void EndpointTable::onWentOn(const std::string &Id) {
@@ -282,6 +312,8 @@
   if (!E || E->m_consecutiveSilent == 0)
     return;
   E->m_consecutiveSilent = 0;
+  if (E->m_pace)
+    E->m_pace->onWentOn();
   E->m_failureShare =
       std::min(E->m_failureShare, E->m_failureShareBeforeSilence);
 }
--- a/src/libgateway/endpoints.h
+++ b/src/libgateway/endpoints.h
@@ -4,6 +4,7 @@
 #define PRIMROSEWORKS_LIBGATEWAY_ENDPOINTS_H
 
 #include "libgateway/endpointnotice.h"
+#include "libgateway/endpointpacing.h"
 #include "libgateway/engineledger.h"
 #include "libgateway/types.h"
 
@@ -93,6 +94,8 @@
   std::optional<TimePoint> m_keptUntil;
 
   EndpointNotice m_notice; ///< Of this incarnation.
+  /// Its adaptive concurrency limit; empty unless limits are enabled.
+  std::optional<EndpointPace> m_pace;
 
   const HeldModel *held(const std::string &Model) const;
   bool holds(const std::string &Model, const std::string &Adapter) const;
@@ -111,6 +114,10 @@
     return available(Now) && !paused(Now);
   }
   EndpointLoad load() const; ///< Local load plus that of the peers.
+  /// Whether its adaptive limit allows no further request at this load.
+  bool atPaceLimit(const EndpointLoad &Load) const {
+    return m_pace && m_pace->blocks(Load.m_requests);
+  }
   void setPeerLoad(const std::string &Peer, EndpointLoad Load, TimePoint Until);
   void erasePeerLoad(const std::string &Peer);
 };
@@ -156,6 +163,16 @@
 }
 class EndpointTable {
 public:
+  /// Gives each endpoint an adaptive concurrency limit. To be called before the
+  /// first record.
+  void enablePacing(EndpointPacing::OnChange Changed) {
+    m_pacing.enable(std::move(Changed));
+  }
+  bool pacingEnabled() const { return m_pacing.enabled(); }
+  /// The first list of endpoints is complete.
+  void onFirstListComplete() { m_pacing.onFirstListComplete(); }
+  /// Number of endpoints whose adaptive limit restricts them now.
+  std::size_t limitedEndpoints() const;
   /// A complete list of the registered endpoints. Endpoints that are not listed
   /// are removed as by onRemoved().
   void onList(const std::vector<EndpointRecord> &Records, TimePoint KeepUntil,
@@ -206,6 +223,12 @@
   /// Mean prefill time per prompt token on the service's engines.
   double prefillMsPerToken(const std::string &Service) const;
   void onHealth(const std::string &Id, AttemptHealth Health, TimePoint Now);
+  /// Takes a sample for the endpoint's adaptive limit. To be called while the
+  /// request still counts as its load.
+  void onAnswer(const std::string &Id, const AnswerSample &Answer,
+                TimePoint Now);
+  /// The endpoint itself stated that it did not run a request.
+  void onRefused(const std::string &Id, TimePoint Now);
   /// The endpoint of a silent attempt has gone on: its silence was no failure.
   void onWentOn(const std::string &Id);
   /// Another VM has seen an overrun of this incarnation.
@@ -244,6 +267,7 @@
 private:
   std::map<std::string, Endpoint> m_endpoints; ///< By id.
   EndpointNotices m_notices;
+  EndpointPacing m_pacing;
   using ServiceAndModel = std::pair<std::string, std::string>;
   /// Index of m_endpoints, built again when m_holdersValid is false. An empty
   /// model stands for all endpoints of the service.
--- a/src/libgateway/exchange.h
+++ b/src/libgateway/exchange.h
@@ -111,6 +111,8 @@
   NewEvents takeEvents();
   void recordEvents(TimePoint Now);
   void recordFirstEvent();
+  void recordFirstEventSample(TimePoint Now);
+  void recordWholeAnswer(TimePoint Now);
   void recordEventGap(TimePoint Now);
   std::string serializeRequestHead(TimePoint Now) const;
   std::string serializeResponseHead(const HttpHead &Head, bool Chunked,
--- a/src/libgateway/exchangeattempt.cpp
+++ b/src/libgateway/exchangeattempt.cpp
@@ -376,6 +376,7 @@
   if (Head.isSuccess()) {
     if (!Metadata.m_signed || Metadata.m_encoded)
       co_return AttemptOutcome::Broken;
+    recordWholeAnswer(clockNow());
     endSilentAttempts(SilenceEnd::OtherAnswered, clockNow());
     (void)co_await forwardResponse(Head, std::move(Body));
     co_return AttemptOutcome::Delivered;
@@ -425,6 +426,8 @@
     m_attempt.m_observation.m_endpointReplaced = m_attempt.m_endpointReplaced;
     m_attempt.m_observation.m_artifactRejected =
         !m_attempt.m_endpointReplaced && m_engineService;
+    if (!m_attempt.m_endpointReplaced)
+      Table.onRefused(Id, Now);
     if (m_attempt.m_endpointReplaced)
       Table.onReplaced(Id);
     else if (m_engineService)
--- a/src/libgateway/exchangestream.cpp
+++ b/src/libgateway/exchangestream.cpp
@@ -17,6 +17,7 @@
   m_core.m_endpoints.onFirstEvent(m_query.m_service, Now - m_attempt.m_sentAt,
                                   m_attempt.m_choice.m_pendingPrefillTokens +
                                       m_query.m_size.m_promptTokens);
+  recordFirstEventSample(Now);
   if (m_attempt.m_placedBy == PlacedBy::Coordinator) {
     m_attempt.m_observation.m_firstEventMs = toMillis(Now - m_attempt.m_sentAt);
     observeNotice(Now);
@@ -29,6 +30,28 @@
   m_core.dispatchWaiting(Now);
 }
 
+/// Takes the first event as a sample for the endpoint's adaptive limit.
+void Exchange::recordFirstEventSample(TimePoint Now) {
+  const std::uint64_t Prompt = m_query.m_size.m_promptTokens;
+  m_core.m_endpoints.onAnswer(
+      m_attempt.m_choice.m_endpoint,
+      {m_query.m_model, Now - m_attempt.m_sentAt,
+       Prompt == 0 ? 0 : Prompt + m_attempt.m_choice.m_pendingPrefillTokens},
+      Now);
+}
+
+/// Takes a complete answer that is no stream as such a sample.
+void Exchange::recordWholeAnswer(TimePoint Now) {
+  if (!m_core.m_endpoints.pacingEnabled())
+    return;
+  const Duration Latency = Now - m_attempt.m_sentAt;
+  m_core.m_endpoints.onAnswer(m_attempt.m_choice.m_endpoint,
+                              wholeAnswer(m_query, Latency), Now);
+  // The latency of an engine's first event is not known from a whole answer.
+  if (m_query.m_size.m_promptTokens == 0)
+    m_attempt.m_observation.m_firstEventMs = toMillis(Latency);
+}
+
 /// Records the time since the previous events. A gap above the route's target
 /// makes the response late and shows that the engine is slow, however soon its
 /// first events come.
--- a/src/libgateway/gateway.cpp
+++ b/src/libgateway/gateway.cpp
@@ -334,6 +334,10 @@
     exportMemory();
     m_core.m_metrics->gauge("waiting",
                             static_cast<double>(m_core.m_queue.size()));
+    if (m_core.m_endpoints.pacingEnabled())
+      m_core.m_metrics->gauge(
+          "endpoints_limited",
+          static_cast<double>(m_core.m_endpoints.limitedEndpoints()));
     m_core.m_metrics->gauge("remote_requests",
                             static_cast<double>(m_scheduler.size()));
     m_core.m_metrics->gauge("caller_connections",
--- a/src/libgateway/gatewaystore.cpp
+++ b/src/libgateway/gatewaystore.cpp
@@ -158,6 +158,7 @@
     applyEndpoint({m_core.m_dialect.endpointPrefix() + Id, std::nullopt,
                    List.m_revision});
   m_core.m_endpointsKnown = true;
+  m_core.m_endpoints.onFirstListComplete();
   onCopyConfirmed(ReadAt);
   m_core.dispatchWaiting(Now);
 }
--- a/src/libgateway/scheduler.cpp
+++ b/src/libgateway/scheduler.cpp
@@ -136,6 +136,31 @@
     From.m_requests.erase(Request.m_ticket);
 }
 
+/// Takes what an attempt showed for the adaptive limit of its endpoint.
+void Scheduler::recordAnswer(const RemoteRequest &Request,
+                             const AttemptObservation &Observation,
+                             TimePoint Now) {
+  EndpointTable &Table = m_core.m_endpoints;
+  const std::string &Id = Request.m_choice.m_endpoint;
+  const ChoiceQuery &Query = Request.m_message.m_query;
+  const std::uint64_t Prompt = Query.m_size.m_promptTokens;
+  const auto FromMs = [](double Ms) { return fromSeconds(Ms / 1000); };
+  if (Observation.m_firstEventMs > 0)
+    Table.onAnswer(
+        Id,
+        {Query.m_model, FromMs(Observation.m_firstEventMs),
+         Prompt == 0 ? 0 : Prompt + Request.m_choice.m_pendingPrefillTokens},
+        Now);
+  else if (Observation.m_firstByteMs > 0 && !Request.m_prefillDone &&
+           Observation.m_health == AttemptHealth::Good)
+    Table.onAnswer(Id, wholeAnswer(Query, FromMs(Observation.m_firstByteMs)),
+                   Now);
+  // A response, not a gateway that left the endpoint before it sent anything.
+  if (Observation.m_health == AttemptHealth::Refused &&
+      Observation.m_firstByteMs > 0 && !Observation.m_endpointReplaced)
+    Table.onRefused(Id, Now);
+}
+
 /// Applies what an attempt showed, as if it had been an attempt of this VM.
 void Scheduler::record(const RemoteRequest &Request,
                        const AttemptObservation &Observation, TimePoint Now) {
@@ -149,6 +174,7 @@
     Table.onFirstEvent(Query.m_service, FromMs(Observation.m_firstEventMs),
                        Request.m_choice.m_pendingPrefillTokens +
                            Query.m_size.m_promptTokens);
+  recordAnswer(Request, Observation, Now);
   if (Observation.m_intervalMs > 0)
     Table.onMeanInterval(Id, FromMs(Observation.m_intervalMs));
   if (Observation.m_stalled)
--- a/src/libgateway/scheduler.h
+++ b/src/libgateway/scheduler.h
@@ -52,6 +52,8 @@
            const AttemptObservation &Observation, TimePoint Now);
   void record(const RemoteRequest &Request,
               const AttemptObservation &Observation, TimePoint Now);
+  void recordAnswer(const RemoteRequest &Request,
+                    const AttemptObservation &Observation, TimePoint Now);
   void dropEarlierStarts(const GatewayInstance &Sender, TimePoint Now);
 
   Core &m_core;
--- a/src/libgateway/scheduler_test.cpp
+++ b/src/libgateway/scheduler_test.cpp
@@ -4,6 +4,7 @@
 #include "libgateway/scheduler.h"
 #include "libgateway/schedulerclient.h"
 
+#include <algorithm>
 #include <deque>
 #include <gtest/gtest.h>
 #include <set>
@@ -273,6 +274,44 @@
   EXPECT_EQ(After, Slots + 1);
 }
 
+// Load pattern: a coordinator is replaced while many gateways send to an
+// engine. Guards against an adaptive limit that answers and refusals at other
+// gateways do not change.
+TEST(Scheduler, LearnsAdaptiveLimitsFromRemoteAttempts) {
+  Fleet F(20);
+  const std::string Name = F.schedulerOf("m1");
+  Core &Coordinator = *F.node(Name == "vm-0" ? 0 : 1).m_core;
+  const EndpointRecord Record = Coordinator.m_endpoints.find("e1")->m_record;
+  Coordinator.m_endpoints.enablePacing(nullptr);
+  Coordinator.m_endpoints.onRecord(Record, F.m_now);
+  std::vector<Caller> Callers(Slots);
+  const auto Granted = [&Callers] {
+    return std::count_if(Callers.begin(), Callers.end(),
+                         [](const Caller &C) { return C.m_granted; });
+  };
+  for (unsigned I = 0; I < Slots; ++I)
+    F.ask(I + 2, Callers[I]);
+  EXPECT_EQ(Granted(), Slots / 2);
+  EXPECT_NE(Coordinator.m_metrics->text().find("waited_for_endpoint_limit"),
+            std::string::npos);
+  AttemptObservation First;
+  First.m_firstEventMs = 30;
+  for (unsigned I = 0; I < Slots / 2; ++I)
+    F.node(I + 2).m_client->onPrefillDone(Callers[I].m_ticket, First);
+  F.deliver();
+  EXPECT_EQ(Granted(), Slots) << "one answered round doubles the limit";
+  AttemptObservation Refused;
+  Refused.m_health = AttemptHealth::Refused;
+  for (unsigned I = Slots / 2; I < Slots; ++I) {
+    F.finish(I + 2, Callers[I], Refused); // Never sent: no refusal.
+    EXPECT_FALSE(Coordinator.m_endpoints.find("e1")->m_pace->limited());
+  }
+  Refused.m_firstByteMs = 5;
+  for (unsigned I = 0; I < PaceSilentAttempts; ++I)
+    F.finish(I + 2, Callers[I], Refused);
+  EXPECT_EQ(Coordinator.m_endpoints.find("e1")->m_pace->limit(), Slots / 2);
+}
+
 // Load pattern: a full engine, then urgent requests of some gateways and less
 // urgent ones of others. Guards against urgent work that waits behind less
 // urgent work of other gateways.
--- a/src/libgateway/settings.cpp
+++ b/src/libgateway/settings.cpp
@@ -48,7 +48,7 @@
   return Text.size() - Colon <= 6;
 }
 
-enum class SettingType { Name, Address, OptionalAddress, Number };
+enum class SettingType { Name, Address, OptionalAddress, Number, Flag };
 
 struct SettingSpec {
   const char *m_key;
@@ -138,6 +138,11 @@
       {"retries.extra", SettingType::Number, "repeats of all VMs", 0, 1e6,
        [](S &O, Str, double V) { O.m_retries.m_extra = V; },
        [](const S &O) { return shown(O.m_retries.m_extra); }},
+      {"endpoints.adaptive-pace", SettingType::Flag, "true or false", 0, 0,
+       [](S &O, Str, double V) { O.m_adaptivePace = V != 0; },
+       [](const S &O) -> std::string {
+         return O.m_adaptivePace ? "true" : "false";
+       }},
   };
   return Table;
 }
@@ -148,7 +153,7 @@
          Key == "vm.memory-mb" || Key == "listen.metrics" ||
          Key == "store.lease-ms" || Key == "store.drain-limit-ms" ||
          Key == "store.configuration-limit-ms" || Key == "stop.limit-s" ||
-         Key.rfind("retries.", 0) == 0;
+         Key == "endpoints.adaptive-pace" || Key.rfind("retries.", 0) == 0;
 }
 
 Result<void> readOne(const YAML::Node &Root, const SettingSpec &Spec,
@@ -172,6 +177,13 @@
     Spec.m_set(Out, Text, Value);
     return boost::outcome_v2::success();
   }
+  if (Spec.m_type == SettingType::Flag) {
+    bool Value = false;
+    if (!YAML::convert<bool>::decode(Node, Value))
+      return settingError(Spec.m_key, found(Node), Spec.m_unit);
+    Spec.m_set(Out, Text, Value ? 1 : 0);
+    return boost::outcome_v2::success();
+  }
   if (Text.empty() && Spec.m_type == SettingType::OptionalAddress)
     return boost::outcome_v2::success();
   if (Spec.m_type != SettingType::Name && !isAddress(Text))
--- a/src/libgateway/settings.h
+++ b/src/libgateway/settings.h
@@ -29,7 +29,8 @@
   Milliseconds m_stopLimit{8000}; ///< From SIGTERM until the process is killed.
   RetryLimit m_retries;
   unsigned m_descriptors = 1024; ///< Maximum number of open files and sockets.
-  double m_cpuShare = 1;         ///< Cores that this VM may use.
+  bool m_adaptivePace = false; ///< Endpoints have adaptive concurrency limits.
+  double m_cpuShare = 1;       ///< Cores that this VM may use.
   /// Memory that this process may use; 0: what it can read of its VM.
   std::size_t m_memoryBytes = 0;
 };
--- a/src/libgateway/settings_test.cpp
+++ b/src/libgateway/settings_test.cpp
@@ -39,6 +39,10 @@
   EXPECT_EQ(S.value().m_regions.at("d2"), "r2");
   EXPECT_EQ(S.value().m_lease, Milliseconds(2000));
   EXPECT_DOUBLE_EQ(S.value().m_retries.m_extra, 58);
+  EXPECT_FALSE(S.value().m_adaptivePace);
+  EXPECT_TRUE(parseSettings(Good + "endpoints:\n  adaptive-pace: true\n")
+                  .value()
+                  .m_adaptivePace);
   bool Default = false;
   for (const SettingRow &Row : describeSettings(Good, S.value()))
     if (Row.m_key == "stop.limit-s")
@@ -52,6 +56,7 @@
       {with("  port: 7380\n", "  port: 99999\n"), "peers.port"},
       {with("  port: 7380\n", "  port: many\n"), "peers.port"},
       {with("  name: \"vm-1\"\n", ""), "vm.name"},
+      {Good + "endpoints:\n  adaptive-pace: 2\n", "endpoints.adaptive-pace"},
       {with("\"10.9.0.1:8142\"", "\"10.9.0.1\""), "store.address"},
       {with("failure-domain: \"d1\"", "failure-domain: \"d7\""),
        "failure-domains"},
