gateway, libhttp, libpeer: a response with an invalid status is broken

Cause: a status that HTTP does not have (000, below 100, above 599), or a 1xx status as the final one, was taken for an answer: it reached callers, and calls to the store and to engines, and primrosed's clients, took it as their result. Change: one rule, pvt::isFinalStatus() in libbase/httpstatus.h. HttpReader refuses such a head, so that plain and stream requests are retried or get 502; callHttp() skips interim responses (orders, reports, store) and fails with Timeout; primrosed's HTTP client reports Broken; messages between its daemons with such a status are refused.

--- a/src/libgateway/connections.cpp
+++ b/src/libgateway/connections.cpp
@@ -239,8 +239,15 @@
             });
   Result<void> Step = co_await C->send(std::move(Request));
   bool Fits = true;
+  unsigned Interim = 0;
   while (Step && Fits && !C->m_reader.complete()) {
     Step = co_await C->readSome();
+    if (Step && C->m_reader.complete() && C->m_reader.head().isInterim()) {
+      if (++Interim > MaxInterimResponsesOfCall)
+        Step = makeError(ErrorKind::Protocol, "too many interim responses");
+      else
+        C->m_reader.reset();
+    }
     SilentSince = std::chrono::steady_clock::now();
     Fits = C->m_reader.bodySize() <= Limits.m_bodyBytes &&
            C->m_reader.head().m_length.value_or(0) <= Limits.m_bodyBytes &&
--- a/src/libgateway/connections.h
+++ b/src/libgateway/connections.h
@@ -109,9 +109,13 @@
   AfterSuccess
 };
 
-/// Sends one request and reads the complete response. Fails with Unavailable
-/// (not sent), Timeout (sent, but no complete response arrived in time) or Full
-/// (the response exceeds its limit or the memory of this process).
+/// Most 1xx responses of a call before its final one.
+inline constexpr unsigned MaxInterimResponsesOfCall = 8;
+
+/// Sends one request and reads the complete response, whose status is a final
+/// one. Fails with Unavailable (not sent), Timeout (sent, but no complete and
+/// valid response arrived in time) or Full (the response exceeds its limit or
+/// the memory of this process).
 asio::awaitable<Result<HttpClientResponse>>
 callHttp(asio::io_context &Io, ConnectionPool &Pool, std::string Key,
          std::string Address, std::string Request, CallLimits Limits,
--- a/src/libgateway/exchangeattempt.cpp
+++ b/src/libgateway/exchangeattempt.cpp
@@ -74,7 +74,7 @@
       BOOST_OUTCOME_CO_TRYV(co_await readMore(C));
     }
     const HttpHead &Head = C->m_reader.head();
-    const bool IsInterim = Head.m_status >= 100 && Head.m_status < 200;
+    const bool IsInterim = Head.isInterim();
     const ResponseMetadata Metadata = m_core.m_dialect.responseMetadata(Head);
     const bool IsOwn = IsInterim || answersRequest(Metadata, *C);
     if (IsOwn)
--- a/src/libgateway/httpmessage.cpp
+++ b/src/libgateway/httpmessage.cpp
@@ -1,5 +1,6 @@
 // Incremental HTTP/1.1 reader.
 #include "libgateway/httpmessage.h"
+#include "libbase/httpstatus.h"
 
 #include <algorithm>
 #include <array>
@@ -49,6 +50,8 @@
   return "HTTP/1.1 " + std::to_string(Status) + " " + Reason + "\r\n";
 }
 
+bool HttpHead::isInterim() const { return pvt::isInterimStatus(m_status); }
+
 const std::string *HttpHead::find(std::string_view LowerName) const {
   for (const HttpHeader &H : m_headers)
     if (H.m_lowerName == LowerName)
@@ -139,6 +142,8 @@
       return -1; // Unknown framing would allow request smuggling.
   } else {
     Head.m_status = P->status_code;
+    if (!Head.isInterim() && !pvt::isFinalStatus(Head.m_status))
+      return -1; // No caller could act on it, and it states no outcome.
   }
   http_parser_pause(P, 1);
   return 0;
--- a/src/libgateway/httpmessage.h
+++ b/src/libgateway/httpmessage.h
@@ -32,6 +32,8 @@
 
   /// Whether a response has a 2xx status.
   bool isSuccess() const { return m_status >= 200 && m_status < 300; }
+  /// Whether a response has a 1xx status: another one follows.
+  bool isInterim() const;
   /// Value of the first header with this lower-case name; null if absent.
   const std::string *find(std::string_view LowerName) const;
   /// Request target without its query.
@@ -57,8 +59,9 @@
 
   /// Consumes the bytes that belong to the current message and returns their
   /// number. Stops at the end of the head and at the end of the message. Fails
-  /// with Protocol for bytes that are not an HTTP message, with Full for a head
-  /// over the limit or with more than MaxHeaders.
+  /// with Protocol for bytes that are not an HTTP message or a response whose
+  /// status is not from 100 to 599, with Full for a head over the limit or with
+  /// more than MaxHeaders.
   Result<std::size_t> read(std::string_view Bytes);
   /// To be called at the end of the connection. Returns whether that completes
   /// the message.
--- a/src/libgateway/httpmessage_test.cpp
+++ b/src/libgateway/httpmessage_test.cpp
@@ -133,3 +133,23 @@
     EXPECT_LT(Reader.memoryBytes(), 500'000U);
   }
 }
+
+// Guards against an endpoint's invalid status that a caller gets as an answer.
+TEST(HttpReader, RejectsStatusesThatHttpDoesNotHave) {
+  for (const char *Status : {"000", "001", "20", "099", "600", "999"}) {
+    HttpReader Reader(HttpRole::Response, 4096);
+    const Result<std::string> Rest = feed(Reader,
+                                          std::string("HTTP/1.1 ") + Status +
+                                              " X\r\nContent-Length: 0\r\n\r\n",
+                                          100);
+    EXPECT_FALSE(Rest) << Status;
+  }
+  for (const char *Status : {"100", "103", "200", "418", "599"}) {
+    HttpReader Reader(HttpRole::Response, 4096);
+    EXPECT_TRUE(feed(Reader,
+                     std::string("HTTP/1.1 ") + Status +
+                         " X\r\nContent-Length: 0\r\n\r\n",
+                     100))
+        << Status;
+  }
+}
--- a/src/libhttp/httpclient.cpp
+++ b/src/libhttp/httpclient.cpp
@@ -3,6 +3,7 @@
 // cpp-httplib blocks in reads that another thread cannot end in any other way.
 #include "libhttp/httpclient.h"
 
+#include "libbase/httpstatus.h"
 #include "libbase/limitedjson.h"
 
 #include <httplib.h>
@@ -278,9 +279,19 @@
     if (!Sent || (EndedHere && endsWithConnection(Reply)))
       explain(Reply, Sent.error(), Watched, Silence,
               std::chrono::steady_clock::now() - Start);
+    else if (!isFinalStatus(static_cast<unsigned>(Reply.m_status)))
+      refuseStatus(Reply);
     return Reply;
   }
 
+  /// The call may have run; what came says nothing about it.
+  static void refuseStatus(HttpReply &Reply) {
+    Reply.m_failure = HttpFailure::Broken;
+    Reply.m_detail =
+        "the answer has the invalid status " + std::to_string(Reply.m_status);
+    Reply.m_body.clear();
+  }
+
   static void explain(HttpReply &Reply, httplib::Error Failure,
                       const WatchedCall &Watched, Milliseconds Silence,
                       Duration Taken) {
--- a/src/libhttp/httpclient.h
+++ b/src/libhttp/httpclient.h
@@ -48,9 +48,9 @@
 
 /// Why no whole answer came.
 enum class HttpFailure {
-  NotSent,  ///< No byte of the call was sent.
-  Timeout,  ///< Silence or the bound on the call; it may have run.
-  Broken,   ///< The connection broke; it may have run.
+  NotSent, ///< No byte of the call was sent.
+  Timeout, ///< Silence or the bound on the call; it may have run.
+  Broken,  ///< The connection broke, or the status is invalid; it may have run.
   Cancelled ///< Stop, or the receiver of the body returned false.
 };
 
--- a/src/libhttp/httpclient_test.cpp
+++ b/src/libhttp/httpclient_test.cpp
@@ -433,3 +433,19 @@
   EXPECT_FALSE(Called);
   EXPECT_TRUE(pvt::saysNotRun(Reply));
 }
+
+// Guards against an invalid status that is passed on as an answer: the call may
+// have run, and nothing more is known.
+TEST(HttpClient, InvalidStatusIsABrokenAnswer) {
+  for (const char *Status : {"000", "099", "103", "199", "600", "999"}) {
+    RawServer Server([Status](int Socket, int) {
+      readRequest(Socket);
+      send(Socket, std::string("HTTP/1.1 ") + Status +
+                       " X\r\nContent-Length: 16\r\n\r\n{\"not_run\":true}");
+    });
+    const HttpReply Reply =
+        clientOf(Server.url())->call(post(Milliseconds(1000)));
+    EXPECT_EQ(Reply.m_failure, HttpFailure::Broken) << Status;
+    EXPECT_FALSE(pvt::saysNotRun(Reply)) << Status;
+  }
+}
--- a/src/libpeer/fields_pvt.h
+++ b/src/libpeer/fields_pvt.h
@@ -2,6 +2,7 @@
 #ifndef PRIMROSEWORKS_LIBPEER_FIELDS_PVT_H
 #define PRIMROSEWORKS_LIBPEER_FIELDS_PVT_H
 
+#include "libbase/httpstatus.h"
 #include "primroseworks/message.h"
 
 #include <limits>
@@ -65,9 +66,10 @@
   return Field ? asUnsigned(*Field, Name) : 0;
 }
 
+/// The final status of an endpoint's response; 0 if there is none.
 inline int statusCode(const Json &Object, const char *Name) {
   const unsigned Code = smallNumber(Object, Name);
-  if (Code > 999)
+  if (Code != 0 && !isFinalStatus(Code))
     throw BadField{Name};
   return static_cast<int>(Code);
 }
--- a/src/libpeer/message_test.cpp
+++ b/src/libpeer/message_test.cpp
@@ -160,6 +160,8 @@
        {"type", "demand_report"},
        {"entries", {"model", "m", "1", "r", 5}},
        {"ranks", {1, 2}}},
+      {{"v", 1}, {"type", "journal_result"}, {"status_code", 99}},
+      {{"v", 1}, {"type", "journal_result"}, {"status_code", 600}},
       {{"v", 1}, {"type", "journal_reply"}, {"status", "?"}}};
   for (const auto &Map : Wrong) {
     const auto Cbor = nlohmann::json::to_cbor(Map);
