gateway: versions of the store carry its era

Cause: the store may come back from a copy of itself that is some seconds old. It has then lost the leases, member keys and the leader's claim that it had acknowledged, and issues their revisions again: a watch skips changes, a lost claim goes on, and engines refuse the next leader's lower token. Change: StoreVersion (era, revision) in libstoreversion replaces the plain revision in items, lists, changes, the watch position, relays and the leader's claim. On a higher era a gateway drops its lease and claim, ends its watch, reads all lists again and writes its keys under a new lease; former members and missing records count for one lease time and for the grace time. Answers and relays of a lower era are ignored; a relay of a higher one makes the receiver ask the store. Fencing token = era x 2^40 + revision. A claim waits one lease time after the first sight of the era.

--- a/src/libgateway/connections.cpp
+++ b/src/libgateway/connections.cpp
@@ -222,6 +222,8 @@
   if (!Opened)
     co_return makeError(ErrorKind::Unavailable, Opened.error().m_message);
   ConnectionPtr C = Opened.value();
+  if (Limits.m_handle)
+    Limits.m_handle->begin(C);
   const TimePoint End = Begin + Limits.m_total;
   MemoryClaimPtr Memory;
   if (Pool.memory()) {
@@ -254,6 +256,8 @@
            (!Memory || Memory->resize(C->memoryBytes()));
   }
   Guard.disarm();
+  if (Limits.m_handle)
+    Limits.m_handle->finish();
   if (!Step || !Fits) {
     C->close();
     if (!Fits)
--- a/src/libgateway/connections.h
+++ b/src/libgateway/connections.h
@@ -87,6 +87,27 @@
   std::string m_body;
 };
 
+/// Ends a call from outside, before or while it waits for its response.
+class CallHandle {
+public:
+  void begin(const ConnectionPtr &C) {
+    m_connection = C;
+    if (m_ended)
+      C->close();
+  }
+  /// The connection is no longer that of the call.
+  void finish() { m_connection.reset(); }
+  void end() {
+    m_ended = true;
+    if (const ConnectionPtr C = m_connection.lock())
+      C->close();
+  }
+
+private:
+  std::weak_ptr<Connection> m_connection;
+  bool m_ended = false;
+};
+
 /// Limits of a call.
 struct CallLimits {
   /// Both time limits are Total.
@@ -99,6 +120,8 @@
   Milliseconds m_silence;  ///< Until the next part of the response arrives.
   Milliseconds m_total;    ///< Until the response is complete.
   std::size_t m_bodyBytes; ///< Largest body of the response.
+  /// Must exist until the call returns; null if nothing ends the call early.
+  CallHandle *m_handle = nullptr;
 };
 
 /// After which responses of a call its connection is used again.
--- a/src/libgateway/gateway.cpp
+++ b/src/libgateway/gateway.cpp
@@ -60,7 +60,7 @@
           [this](const std::string &Name, const SchedulingMessage &Message) {
             m_peers.sendMessage(Name, Message);
           }),
-      m_relayTimer(Io),
+      m_relayTimer(Io), m_storeEra(m_core.m_settings.m_lease), m_leaseTimer(Io),
       m_leaderClaim(m_core.m_settings.m_lease, LeaderLeaseMargin),
       m_placementLeader(m_core, m_leaderClaim, m_core.m_settings.m_vm,
                         [this](const std::string &Id) {
@@ -74,6 +74,7 @@
       }) {
   m_core.m_schedulerClient = &m_schedulerClient;
   m_storePool.limitMemory(m_core.m_memory);
+  m_store.setOnEra([this](std::uint64_t Era) { return onStoreEra(Era); });
   m_peers.setOnMessage(
       [this](const SchedulingMessage &Message) { onMessage(Message); });
   m_core.m_onAdapterWanted = [this] { m_placement.request(); };
@@ -152,13 +153,16 @@
 
 // --- Members and leadership -----------------------------------------------
 
-/// Applies the gateways' keys as of Revision: members and placement leader.
-void Gateway::applyGateways(std::uint64_t Revision) {
+/// The members whose keys are in the store, and those that the store lost when
+/// it came back and whose time to write them again has not passed.
+std::vector<Member> Gateway::knownMembers() {
+  std::map<std::string, std::string> Values = m_formerMembers.values();
+  for (const auto &[Key, Item] : m_gatewayItems)
+    if (Key.rfind(MemberPrefix, 0) == 0)
+      Values[Key] = Item.m_value;
   std::vector<Member> Members;
-  for (const auto &[Key, Item] : m_gatewayItems) {
-    if (Key.rfind(MemberPrefix, 0) != 0)
-      continue;
-    Result<Member> M = decodeMember(Item.m_value);
+  for (const auto &[Key, Value] : Values) {
+    Result<Member> M = decodeMember(Value);
     if (M)
       Members.push_back(M.value());
     else
@@ -166,6 +170,11 @@
           .text("key", Key)
           .text("error", M.error().m_message);
   }
+  return Members;
+}
+
+/// Applies the gateways' keys as of Version: members and placement leader.
+void Gateway::applyGateways(const StoreVersion &Version) {
   // The store may delete a key although its lease is still valid.
   if (!m_gatewayItems.count(MemberPrefix + m_core.m_settings.m_vm))
     m_memberWritten = false;
@@ -176,20 +185,23 @@
     decisionlog::line(LogClass::Lifecycle, "placement_leader")
         .text("leader", Leader)
         .text("before", m_leaderName)
-        .number("revision", static_cast<std::int64_t>(Revision));
+        .number("revision", static_cast<std::int64_t>(Version.m_revision))
+        .number("era", static_cast<std::int64_t>(Version.m_era));
   m_leaderName = Leader;
-  m_peers.setMembers(Members);
-  m_peers.setLeader(Leader, HasLeader ? Key->second.m_revision : Revision);
-  if (Leader != m_core.m_settings.m_vm && m_leaderClaim.onForeignKey(Revision))
+  m_peers.setMembers(knownMembers());
+  const StoreVersion LeaderSince = HasLeader ? Key->second.m_version : Version;
+  const std::uint64_t LeaderToken = primroseworks::fencingToken(LeaderSince);
+  m_peers.setLeader(Leader, LeaderToken);
+  if (Leader != m_core.m_settings.m_vm && m_leaderClaim.onForeignKey(Version))
     m_placementLeader.onClaimLost();
   // A claim succeeded although its response was lost: the key has the lease of
   // this gateway.
   if (HasLeader && Leader == m_core.m_settings.m_vm &&
       !m_leaderClaim.claimed() && m_leaderClaim.lease() != 0 &&
       Key->second.m_lease == m_leaderClaim.lease()) {
-    m_leaderClaim.onClaimed(Key->second.m_revision);
+    m_leaderClaim.onClaimed(LeaderSince);
     decisionlog::line(LogClass::Lifecycle, "claimed_leadership")
-        .number("token", static_cast<std::int64_t>(Key->second.m_revision))
+        .number("token", static_cast<std::int64_t>(LeaderToken))
         .text("reason", "key_seen");
   }
   if (Leader.empty() && !m_claimInProgress && !m_core.m_stopping)
@@ -202,8 +214,11 @@
 /// Obtains and renews the lease, and writes this gateway's member key under it.
 asio::awaitable<void> Gateway::maintainLease() {
   while (!m_core.m_stopping) {
+    co_await awaitRestoreTurn();
     const BootTime SentAt = BootClock::now();
-    if (m_leaderClaim.lease() == 0) {
+    // A new era, which any answer may bring, ends the lease meanwhile.
+    const std::uint64_t Held = m_leaderClaim.lease();
+    if (Held == 0) {
       Result<std::uint64_t> Lease =
           co_await m_store.grantLease(m_core.m_settings.m_lease);
       onStoreResult(Lease.has_value(), "lease");
@@ -212,33 +227,55 @@
         m_memberWritten = false;
       }
     } else {
-      Result<void> Renewed = co_await m_store.renewLease(m_leaderClaim.lease());
+      Result<void> Renewed = co_await m_store.renewLease(Held);
       onStoreResult(Renewed.has_value() ||
                         Renewed.error().m_kind == ErrorKind::NotFound,
                     "renewal");
+      if (m_leaderClaim.lease() != Held)
+        continue;
       if (Renewed) {
-        m_leaderClaim.onLeaseRenewed(m_leaderClaim.lease(), SentAt);
+        m_leaderClaim.onLeaseRenewed(Held, SentAt);
       } else if (Renewed.error().m_kind == ErrorKind::NotFound) {
         decisionlog::line(LogClass::Lifecycle, "lease_lost")
-            .number("lease", static_cast<std::int64_t>(m_leaderClaim.lease()));
+            .number("lease", static_cast<std::int64_t>(Held));
         m_leaderClaim.onLeaseLost();
         m_placementLeader.onClaimLost();
         continue;
       }
     }
-    if (m_leaderClaim.lease() != 0 && !m_memberWritten) {
+    const std::uint64_t Lease = m_leaderClaim.lease();
+    if (Lease != 0 && !m_memberWritten) {
       // A named variable, because g++ 12 destroys an aggregate that is created
       // within a co_await expression twice.
       const StoreWrite Key{MemberPrefix + m_core.m_settings.m_vm,
-                           encodeMember(m_core.m_settings),
-                           m_leaderClaim.lease()};
-      Result<std::uint64_t> Written = co_await m_store.write(Key, false);
+                           encodeMember(m_core.m_settings), Lease};
+      Result<StoreVersion> Written = co_await m_store.write(Key, false);
       onStoreResult(Written.has_value(), "member");
+      if (m_leaderClaim.lease() != Lease)
+        continue;
       m_memberWritten = Written.has_value();
     }
-    co_await sleep(Duration(m_core.m_settings.m_lease) /
-                   (m_leaderClaim.claimed() ? LeaderRenewalsPerLease
-                                            : MemberRenewalsPerLease));
+    m_leaseTimer.expires_after(Duration(m_core.m_settings.m_lease) /
+                               (m_leaderClaim.claimed()
+                                    ? LeaderRenewalsPerLease
+                                    : MemberRenewalsPerLease));
+    std::error_code Ignored;
+    co_await m_leaseTimer.async_wait(
+        asio::redirect_error(asio::use_awaitable, Ignored));
+  }
+}
+
+/// Waits until a leader that does not know the store's present era has ended.
+asio::awaitable<void> Gateway::awaitClaimTime() {
+  for (;;) {
+    const BootTime Now = BootClock::now();
+    if (Now >= m_storeEra.claimFrom() || m_core.m_stopping)
+      co_return;
+    const Duration Left = m_storeEra.claimFrom() - Now;
+    decisionlog::line(LogClass::Lifecycle, "claim_waits")
+        .number("era", static_cast<std::int64_t>(m_storeEra.era()))
+        .real("wait_ms", toMillis(Left));
+    co_await sleep(Left);
   }
 }
 
@@ -254,20 +291,24 @@
   // largest VMs and the newest loads.
   if (m_peers.audience().isLarge() && !m_peers.audience().isCoordinator())
     co_await sleep(DependentClaimDelay);
-  for (int Attempt = 0; Attempt < 20 && m_leaderClaim.lease() == 0; ++Attempt)
-    co_await sleep(Milliseconds(100));
+  do {
+    co_await awaitClaimTime();
+    for (int Attempt = 0; Attempt < 20 && m_leaderClaim.lease() == 0; ++Attempt)
+      co_await sleep(Milliseconds(100));
+  } while (BootClock::now() < m_storeEra.claimFrom() && !m_core.m_stopping);
   if (m_leaderName.empty() && m_leaderClaim.lease() != 0 &&
       !m_core.m_stopping) {
     const std::uint64_t Lease = m_leaderClaim.lease();
     const StoreWrite Key{LeaderKey, m_core.m_settings.m_vm, Lease};
-    Result<std::uint64_t> Written = co_await m_store.write(Key, true);
+    Result<StoreVersion> Written = co_await m_store.write(Key, true);
     onStoreResult(Written.has_value() ||
                       Written.error().m_kind == ErrorKind::Conflict,
                   "claim");
     if (Written && Lease == m_leaderClaim.lease()) {
       m_leaderClaim.onClaimed(Written.value());
       decisionlog::line(LogClass::Lifecycle, "claimed_leadership")
-          .number("token", static_cast<std::int64_t>(Written.value()));
+          .number("token", static_cast<std::int64_t>(
+                               primroseworks::fencingToken(Written.value())));
     }
   }
   m_claimInProgress = false;
@@ -340,6 +381,8 @@
                             static_cast<double>(m_callerListener.size()));
     m_core.m_metrics->gauge("leads", isLeader() ? 1 : 0);
     checkCopyAge(Now);
+    if (m_formerMembers.expire(Now))
+      applyGateways(m_storeFollower.version());
     m_core.m_metrics->gauge("loop_lag_seconds", toSeconds(clockNow() - Now));
     m_core.m_metrics->gauge("log_lines_left_out",
                             static_cast<double>(decisionlog::dropped()));
--- a/src/libgateway/gateway.h
+++ b/src/libgateway/gateway.h
@@ -14,6 +14,7 @@
 #include "libgateway/storerelay.h"
 #include "libgateway/tasks.h"
 #include "libgateway/watchpause.h"
+#include "libstoreversion/storeera.h"
 
 #include <asio/awaitable.hpp>
 #include <asio/signal_set.hpp>
@@ -74,7 +75,7 @@
 
 private:
   asio::awaitable<void> watchStore();
-  asio::awaitable<Result<std::uint64_t>> listStore();
+  asio::awaitable<Result<StoreVersion>> listStore();
   asio::awaitable<void> maintainLease();
   asio::awaitable<void> claimLeadership();
   void exportMemory();
@@ -97,15 +98,26 @@
   /// ReadAt then.
   void applyEndpoints(const StoreRange &List, TimePoint ReadAt);
   void applyEndpoint(const StoreChange &Change);
-  void applyGateways(std::uint64_t Revision);
+  void applyGateways(const StoreVersion &Version);
   asio::awaitable<bool> awaitRelayEnd();
   asio::awaitable<bool> watchOnce(Duration &Backoff);
   void applyChanges(const std::vector<StoreChange> &Changes,
-                    std::uint64_t Revision);
+                    const StoreVersion &Version);
   void onMessage(const SchedulingMessage &Message);
   void onRelay(const StoreRelay &Relay);
   Duration ownReportInterval() const;
   void onStoreResult(bool Success, const char *Operation);
+  /// Takes the era of an answer of the store; returns whether it counts.
+  bool onStoreEra(std::uint64_t Era);
+  void onNewEra(std::uint64_t Before);
+  /// Whether the copy of the store is from its present era.
+  bool copyIsOfEra() const {
+    return m_storeFollower.version().m_era == m_storeEra.era();
+  }
+  /// Waits for this gateway's turn to read and write after a new era.
+  asio::awaitable<void> awaitRestoreTurn();
+  asio::awaitable<void> awaitClaimTime();
+  std::vector<Member> knownMembers();
   /// Until when endpoints whose records are missing are kept: records that
   /// lapsed in an outage of the store return soon after it.
   TimePoint lapsedRecordsUntil(TimePoint Now) const;
@@ -140,16 +152,22 @@
   SchedulerClient m_schedulerClient;
   StoreFollower m_storeFollower;
   asio::steady_timer m_relayTimer; ///< Cancelled when relays have a gap.
+  StoreEra<BootTime> m_storeEra;
+  /// Of members, whose gateways have not written them in this era yet.
+  FormerKeys m_formerMembers;
+  /// After a new era: when this gateway reads and writes again.
+  TimePoint m_restoreTurn{};
+  asio::steady_timer m_leaseTimer; ///< Cancelled by a new era.
   TimePoint m_fleetLoadsSentAt{};
   LeaderClaim m_leaderClaim;
   PlacementLeader m_placementLeader;
   asio::signal_set m_signals;
   BatchTimer m_placement;
   BatchTimer m_announcement;
-  /// Revisions of the last lists of endpoints and of gateways: changes up to
+  /// Versions of the last lists of endpoints and of gateways: changes up to
   /// them are included.
-  std::uint64_t m_endpointsListedAt = 0;
-  std::uint64_t m_gatewaysListedAt = 0;
+  StoreVersion m_endpointsListedAt;
+  StoreVersion m_gatewaysListedAt;
   std::map<std::string, StoreItem> m_gatewayItems; ///< By key.
   std::string m_leaderName; ///< Value of LeaderKey; empty if none.
   bool m_claimInProgress = false;
--- a/src/libgateway/gatewaystore.cpp
+++ b/src/libgateway/gatewaystore.cpp
@@ -8,6 +8,20 @@
 
 namespace primroseworks::gateway {
 
+namespace {
+
+std::int64_t revisionOf(const StoreVersion &Version) {
+  return static_cast<std::int64_t>(Version.m_revision);
+}
+
+Error mixedErasError() {
+  return makeError(ErrorKind::Unavailable,
+                   "the store came back from a copy between two lists; read "
+                   "them again");
+}
+
+} // namespace
+
 void Gateway::onStoreResult(bool Success, const char *Operation) {
   const TimePoint Now = clockNow();
   if (!Success) {
@@ -31,6 +45,61 @@
   m_lastStoreSuccess = Now;
 }
 
+bool Gateway::onStoreEra(std::uint64_t Era) {
+  const std::uint64_t Before = m_storeEra.era();
+  const EraOrder Order = m_storeEra.onAnswer(Era, BootClock::now());
+  if (Order == EraOrder::Newer)
+    onNewEra(Before);
+  if (Order != EraOrder::Outdated)
+    return true;
+  m_core.m_metrics->count("store_answer_outdated");
+  decisionlog::line(LogClass::KnownState, "store_answer_outdated")
+      .number("era", static_cast<std::int64_t>(Era))
+      .number("seen", static_cast<std::int64_t>(Before));
+  return false;
+}
+
+/// The store came back from an older copy of itself, which has lost what this
+/// gateway wrote since then. On the first answer to this process there is
+/// nothing to lose.
+void Gateway::onNewEra(std::uint64_t Before) {
+  const TimePoint Now = clockNow();
+  const bool Restored = m_core.m_endpointsKnown || m_leaderClaim.lease() != 0;
+  m_core.m_metrics->gauge("store_era", static_cast<double>(m_storeEra.era()));
+  decisionlog::line(LogClass::Lifecycle,
+                    Restored ? "store_restored" : "store_era")
+      .number("era", static_cast<std::int64_t>(m_storeEra.era()))
+      .number("before", static_cast<std::int64_t>(Before))
+      .number("lease", static_cast<std::int64_t>(m_leaderClaim.lease()))
+      .number("led", m_leaderClaim.claimed() ? 1 : 0);
+  m_leaderClaim.onLeaseLost();
+  m_placementLeader.onClaimLost();
+  m_memberWritten = false;
+  if (!Restored)
+    return;
+  m_core.m_metrics->count("store_restored");
+  m_lapsedRecordsUntil = std::max<TimePoint>(
+      m_lapsedRecordsUntil,
+      Now + lapsedRecordGrace(m_core.m_settings.m_drainLimit));
+  FormerKeys::Values Members = m_formerMembers.values();
+  for (const auto &[Key, Item] : m_gatewayItems)
+    if (Key.rfind(MemberPrefix, 0) == 0)
+      Members[Key] = Item.m_value;
+  m_formerMembers.keep(std::move(Members), Now + m_core.m_settings.m_lease);
+  std::uniform_real_distribution<double> Share(0, 1);
+  m_restoreTurn =
+      Now + fromSeconds(Share(m_core.m_random) *
+                        toSeconds(restoreSpread(m_core.m_gatewayCount)));
+  m_store.endWatch();
+  m_relayTimer.cancel();
+  m_leaseTimer.cancel();
+}
+
+asio::awaitable<void> Gateway::awaitRestoreTurn() {
+  for (TimePoint Now = clockNow(); Now < m_restoreTurn; Now = clockNow())
+    co_await sleep(m_restoreTurn - Now);
+}
+
 double Gateway::confirmedMsAgo(TimePoint Now) const {
   return m_core.m_endpointsKnown ? toMillis(Now - m_core.m_copyConfirmedAt) : 0;
 }
@@ -82,7 +151,7 @@
   if (!Next) {
     m_core.m_metrics->count("configuration_unreadable");
     decisionlog::line(LogClass::Lifecycle, "configuration_unreadable")
-        .number("revision", static_cast<std::int64_t>(Item.m_revision))
+        .number("revision", revisionOf(Item.m_version))
         .text("error", Next.error().m_message);
     return;
   }
@@ -96,7 +165,7 @@
                           static_cast<double>(Version));
   decisionlog::line(LogClass::Lifecycle, "configuration")
       .number("version", static_cast<std::int64_t>(Version))
-      .number("revision", static_cast<std::int64_t>(Item.m_revision))
+      .number("revision", revisionOf(Item.m_version))
       .number("routes", static_cast<std::int64_t>(
                             m_core.m_configuration->m_routes.size()))
       .real("confirmed_ms_ago", confirmedMsAgo(clockNow()));
@@ -114,7 +183,7 @@
     if (Known)
       decisionlog::line(LogClass::KnownState, "endpoint_removed")
           .text("endpoint", Id)
-          .number("revision", static_cast<std::int64_t>(Change.m_revision))
+          .number("revision", revisionOf(Change.m_version))
           .real("kept_ms", std::max(0.0, toMillis(KeepUntil - Now)))
           .real("confirmed_ms_ago", confirmedMsAgo(Now));
     return;
@@ -137,7 +206,7 @@
         .text("service", Record.value().m_service)
         .text("address", Record.value().m_address)
         .text("state", Draining ? "draining" : "ready")
-        .number("revision", static_cast<std::int64_t>(Change.m_revision))
+        .number("revision", revisionOf(Change.m_version))
         .real("confirmed_ms_ago", confirmedMsAgo(Now));
   m_core.onRecord(Record.value(), Now);
 }
@@ -148,32 +217,33 @@
   for (const StoreItem &Item : List.m_items) {
     ListedIds.insert(
         Item.m_key.substr(m_core.m_dialect.endpointPrefix().size()));
-    applyEndpoint({Item.m_key, Item.m_value, Item.m_revision});
+    applyEndpoint({Item.m_key, Item.m_value, Item.m_version});
   }
   std::vector<std::string> RemovedIds;
   for (const auto &[Id, E] : m_core.m_endpoints.all())
     if (!ListedIds.count(Id))
       RemovedIds.push_back(Id);
   for (const std::string &Id : RemovedIds)
-    applyEndpoint({m_core.m_dialect.endpointPrefix() + Id, std::nullopt,
-                   List.m_revision});
+    applyEndpoint(
+        {m_core.m_dialect.endpointPrefix() + Id, std::nullopt, List.m_version});
   m_core.m_endpointsKnown = true;
   onCopyConfirmed(ReadAt);
   m_core.dispatchWaiting(Now);
 }
 
-/// Lists all keys that the gateway uses. Returns the revision to watch from.
-asio::awaitable<Result<std::uint64_t>> Gateway::listStore() {
+/// Lists all keys that the gateway uses. Returns the version to watch from.
+/// Fails with Unavailable if the store came back from a copy between two lists.
+asio::awaitable<Result<StoreVersion>> Gateway::listStore() {
   const std::string Key = m_core.m_dialect.configurationKey();
   const TimePoint ReadAt = clockNow();
   Result<StoreRange> List = co_await m_store.range(Key);
   onStoreResult(List.has_value(), "configuration");
   if (!List)
     co_return List.error();
-  // The watch starts at the revision of the first list, which is the oldest. It
+  // The watch starts at the version of the first list, which is the oldest. It
   // repeats changes that the later lists already include, but misses none;
   // applyChanges() leaves the repeated ones out.
-  const std::uint64_t Revision = List.value().m_revision;
+  const StoreVersion Version = List.value().m_version;
   for (const StoreItem &Item : List.value().m_items)
     if (Item.m_key == Key)
       applyConfiguration(Item);
@@ -181,48 +251,52 @@
   onStoreResult(List.has_value(), "endpoints");
   if (!List)
     co_return List.error();
-  m_endpointsListedAt = List.value().m_revision;
+  if (List.value().m_version.m_era != Version.m_era)
+    co_return mixedErasError();
+  m_endpointsListedAt = List.value().m_version;
   applyEndpoints(List.value(), ReadAt);
   List = co_await m_store.range(GatewayPrefix);
   onStoreResult(List.has_value(), "gateways");
   if (!List)
     co_return List.error();
-  m_gatewaysListedAt = List.value().m_revision;
+  if (List.value().m_version.m_era != Version.m_era)
+    co_return mixedErasError();
+  m_gatewaysListedAt = List.value().m_version;
   m_gatewayItems.clear();
   for (const StoreItem &Item : List.value().m_items)
     m_gatewayItems[Item.m_key] = Item;
-  applyGateways(List.value().m_revision);
-  co_return Revision;
+  applyGateways(List.value().m_version);
+  co_return Version;
 }
 
 void Gateway::applyChanges(const std::vector<StoreChange> &Changes,
-                           std::uint64_t Revision) {
+                           const StoreVersion &Version) {
   const TimePoint Now = clockNow();
   const std::string Endpoints = m_core.m_dialect.endpointPrefix();
   bool EndpointsChanged = false;
   bool GatewaysChanged = false;
   for (const StoreChange &C : Changes) {
     if (C.m_key.rfind(Endpoints, 0) == 0) {
-      if (C.m_revision <= m_endpointsListedAt)
+      if (C.m_version <= m_endpointsListedAt)
         continue;
       EndpointsChanged = true;
       applyEndpoint(C);
     } else if (C.m_key.rfind(GatewayPrefix, 0) == 0) {
-      if (C.m_revision <= m_gatewaysListedAt)
+      if (C.m_version <= m_gatewaysListedAt)
         continue;
       GatewaysChanged = true;
+      m_formerMembers.onChanged(C.m_key);
       if (C.m_value)
-        m_gatewayItems[C.m_key] = {C.m_key, *C.m_value, C.m_revision,
-                                   C.m_lease};
+        m_gatewayItems[C.m_key] = {C.m_key, *C.m_value, C.m_version, C.m_lease};
       else
         m_gatewayItems.erase(C.m_key);
     } else if (C.m_key == m_core.m_dialect.configurationKey() && C.m_value) {
-      applyConfiguration({C.m_key, *C.m_value, C.m_revision});
+      applyConfiguration({C.m_key, *C.m_value, C.m_version});
     }
   }
   onCopyConfirmed(Now);
   if (GatewaysChanged)
-    applyGateways(Revision);
+    applyGateways(Version);
   if (!EndpointsChanged)
     return;
   m_core.dispatchWaiting(Now);
@@ -246,18 +320,20 @@
 /// Makes one watch call and applies and relays what it returned. Returns false
 /// if the store's state must be read again.
 asio::awaitable<bool> Gateway::watchOnce(Duration &Backoff) {
-  const std::uint64_t From = m_storeFollower.revision();
+  const StoreVersion From = m_storeFollower.version();
   const TimePoint SentAt = clockNow();
   Milliseconds Wait =
       watchWait(SentAt - m_core.m_copyConfirmedAt, changeLimit());
   if (m_peers.audience().isCoordinator())
     Wait = std::min(Wait, CoordinatorWatchTimeout);
   Result<StoreChanges> Changes = co_await m_store.watch("", From, Wait);
-  onStoreResult(Changes.has_value(), "watch");
+  onStoreResult(Changes.has_value() || !copyIsOfEra(), "watch");
+  if (!copyIsOfEra())
+    co_return false;
   if (!Changes) {
     const TimePoint Now = clockNow();
     decisionlog::line(LogClass::KnownState, "watch_failed")
-        .number("revision", static_cast<std::int64_t>(From))
+        .number("revision", revisionOf(From))
         .real("took_ms", toMillis(Now - SentAt))
         .real("answered_ms_ago", toMillis(Now - m_lastStoreSuccess))
         .text("error", Changes.error().m_message);
@@ -270,11 +346,14 @@
   Backoff = MinStoreBackoff;
   if (Changes.value().m_historyLost)
     co_return false;
+  const std::optional<std::vector<StoreChange>> New =
+      m_storeFollower.onWatched(Changes.value());
+  if (!New)
+    co_return false;
   for (const StoreRelay &Relay :
        makeRelays(m_core.m_settings.m_vm, From, Changes.value()))
     m_peers.relay(Relay);
-  applyChanges(m_storeFollower.onWatched(Changes.value()),
-               Changes.value().m_revision);
+  applyChanges(*New, Changes.value().m_version);
   if (!Changes.value().m_changes.empty())
     co_await sleep(pauseBetweenWatches());
   co_return true;
@@ -286,16 +365,17 @@
   Duration Backoff = MinStoreBackoff;
   for (;;) {
     m_storeFollower.onReadStarted();
-    Result<std::uint64_t> Revision = co_await listStore();
-    if (!Revision) {
+    co_await awaitRestoreTurn();
+    Result<StoreVersion> Version = co_await listStore();
+    if (!Version) {
       co_await sleep(Backoff);
       Backoff = std::min<Duration>(2 * Backoff, MaxStoreBackoff);
       continue;
     }
     Backoff = MinStoreBackoff;
-    m_storeFollower.onRead(Revision.value());
+    m_storeFollower.onRead(Version.value());
     const TimePoint RelistAt = clockNow() + RelistInterval;
-    while (clockNow() < RelistAt) {
+    while (clockNow() < RelistAt && copyIsOfEra()) {
       if (co_await awaitRelayEnd())
         continue;
       if (!co_await watchOnce(Backoff))
@@ -308,8 +388,18 @@
   const Member *Sender = m_peers.audience().find(Relay.m_sender);
   if (!Sender || !m_peers.audience().isCoordinator(Relay.m_sender))
     return;
+  const RelayFit Fit = m_storeFollower.fit(Relay);
   const std::optional<std::vector<StoreChange>> Changes =
       m_storeFollower.onRelay(Relay, clockNow());
+  if (Fit == RelayFit::OlderEra || Fit == RelayFit::NewerEra) {
+    m_core.m_metrics->count("relay_" + std::string(nameOf(RelayFitNames, Fit)));
+    decisionlog::line(LogClass::KnownState, "relay_of_other_era")
+        .text("sender", Relay.m_sender)
+        .text("relay", nameOf(RelayFitNames, Fit))
+        .number("era", static_cast<std::int64_t>(Relay.m_to.m_era))
+        .number("own",
+                static_cast<std::int64_t>(m_storeFollower.version().m_era));
+  }
   if (!Changes) {
     m_core.m_metrics->count("relay_gap");
     m_relayTimer.cancel();
--- a/src/libgateway/leadership.cpp
+++ b/src/libgateway/leadership.cpp
@@ -15,7 +15,7 @@
 
 void LeaderClaim::onLeaseRenewed(std::uint64_t Lease, BootTime SentAt) {
   if (Lease != m_lease) {
-    m_token.reset();
+    m_claim.reset();
     m_validUntil = BootTime{};
   }
   m_lease = Lease;
@@ -24,7 +24,7 @@
 
 void LeaderClaim::onLeaseLost() {
   m_lease = 0;
-  m_token.reset();
+  m_claim.reset();
 }
 
 } // namespace primroseworks::gateway
--- a/src/libgateway/leadership.h
+++ b/src/libgateway/leadership.h
@@ -3,6 +3,7 @@
 #ifndef PRIMROSEWORKS_LIBGATEWAY_LEADERSHIP_H
 #define PRIMROSEWORKS_LIBGATEWAY_LEADERSHIP_H
 
+#include "libstoreversion/storeversion.h"
 #include "primroseworks/time.h"
 
 #include <cstdint>
@@ -31,17 +32,17 @@
   /// The response to a grant or renewal sent at SentAt arrived.
   void onLeaseRenewed(std::uint64_t Lease, BootTime SentAt);
   void onLeaseLost();
-  /// The leader key was written under the current lease.
-  void onClaimed(std::uint64_t FencingToken) { m_token = FencingToken; }
+  /// The leader key was written under the current lease. Written is valid.
+  void onClaimed(const StoreVersion &Written) { m_claim = Written; }
   /// An engine has seen a higher fencing token.
-  void onFenced() { m_token.reset(); }
-  /// At this revision of the store the leader key was absent or had another
-  /// holder. A revision from before the claim says nothing about it. Returns
+  void onFenced() { m_claim.reset(); }
+  /// At this version of the store the leader key was absent or had another
+  /// holder. A version from before the claim says nothing about it. Returns
   /// true if this ended the claim.
-  bool onForeignKey(std::uint64_t Revision) {
-    if (!m_token || Revision < *m_token)
+  bool onForeignKey(const StoreVersion &Version) {
+    if (!m_claim || Version < *m_claim)
       return false;
-    m_token.reset();
+    m_claim.reset();
     return true;
   }
 
@@ -51,16 +52,18 @@
   }
   /// Fencing token for an order sent at Now; nothing if none may be sent.
   std::optional<std::uint64_t> tokenAt(BootTime Now) const {
-    return leaseValid(Now) ? m_token : std::nullopt;
+    if (!leaseValid(Now) || !m_claim)
+      return std::nullopt;
+    return fencingToken(*m_claim);
   }
-  bool claimed() const { return m_token.has_value(); }
+  bool claimed() const { return m_claim.has_value(); }
 
 private:
   Milliseconds m_ttl;
   Milliseconds m_margin;
   std::uint64_t m_lease = 0;
   BootTime m_validUntil{};
-  std::optional<std::uint64_t> m_token;
+  std::optional<StoreVersion> m_claim; ///< Of the leader key; is valid.
 };
 
 } // namespace primroseworks::gateway
--- a/src/libgateway/leadership_test.cpp
+++ b/src/libgateway/leadership_test.cpp
@@ -22,7 +22,7 @@
   EXPECT_FALSE(Claim.tokenAt(at(0)));
   Claim.onLeaseRenewed(7, at(0));
   EXPECT_FALSE(Claim.tokenAt(at(1))) << "a lease alone is not a claim";
-  Claim.onClaimed(41);
+  Claim.onClaimed({0, 41});
   EXPECT_EQ(Claim.tokenAt(at(1699)), 41U);
   EXPECT_FALSE(Claim.tokenAt(at(1700)));
   Claim.onLeaseRenewed(7, at(1000));
@@ -40,10 +40,10 @@
 TEST(LeaderClaim, ANewLeaseNeedsANewClaim) {
   LeaderClaim Claim(Milliseconds(2000), Milliseconds(300));
   Claim.onLeaseRenewed(7, at(0));
-  Claim.onClaimed(41);
+  Claim.onClaimed({0, 41});
   Claim.onLeaseRenewed(8, at(10));
   EXPECT_FALSE(Claim.tokenAt(at(20)));
-  Claim.onClaimed(55);
+  Claim.onClaimed({0, 55});
   Claim.onFenced();
   EXPECT_FALSE(Claim.tokenAt(at(30)));
   Claim.onLeaseLost();
@@ -57,9 +57,24 @@
   LeaderClaim C(Milliseconds(2000), Milliseconds(300));
   const BootTime Start = BootTime() + std::chrono::seconds(100);
   C.onLeaseRenewed(7, Start);
-  C.onClaimed(5);
-  EXPECT_FALSE(C.onForeignKey(4));
+  C.onClaimed({0, 5});
+  EXPECT_FALSE(C.onForeignKey({0, 4}));
   EXPECT_TRUE(C.tokenAt(Start));
-  EXPECT_TRUE(C.onForeignKey(6));
+  EXPECT_TRUE(C.onForeignKey({0, 6}));
   EXPECT_FALSE(C.tokenAt(Start));
 }
+
+// Guards against a new leader that engines refuse, because its claim has a
+// lower revision than one that the store has lost, and against a claim that a
+// view of the former era ends.
+TEST(LeaderClaim, TokenStaysAboveThoseOfFormerEras) {
+  LeaderClaim Former(Milliseconds(2000), Milliseconds(300));
+  Former.onLeaseRenewed(7, at(0));
+  Former.onClaimed({0, 900});
+  LeaderClaim C(Milliseconds(2000), Milliseconds(300));
+  C.onLeaseRenewed(7, at(0));
+  C.onClaimed({1, 3});
+  EXPECT_GT(C.tokenAt(at(1)), Former.tokenAt(at(1)));
+  EXPECT_FALSE(C.onForeignKey({0, 950}));
+  EXPECT_TRUE(C.onForeignKey({1, 4}));
+}
--- a/src/libgateway/schedulingmessage.cpp
+++ b/src/libgateway/schedulingmessage.cpp
@@ -164,16 +164,31 @@
         {C.m_key,
          C.m_value ? Json::binary({C.m_value->begin(), C.m_value->end()})
                    : Json(),
-         C.m_revision, C.m_lease}));
-  return Json::array({encodeEnum(MessageKind::StoreRelay), R.m_sender, R.m_from,
-                      R.m_to, std::move(Changes)});
+         C.m_version.m_revision, C.m_lease}));
+  // A receiver that knows no eras must not take a relay of another era than 0.
+  const Json From = R.m_from.m_era == 0
+                        ? Json(R.m_from.m_revision)
+                        : Json::array({R.m_from.m_era, R.m_from.m_revision});
+  return Json::array({encodeEnum(MessageKind::StoreRelay), R.m_sender, From,
+                      R.m_to.m_revision, std::move(Changes)});
+}
+
+/// A version of a relay; throws std::out_of_range for one that no store has.
+StoreVersion decodeVersion(std::uint64_t Era, const Json &Revision) {
+  const StoreVersion Version{Era, Revision.get<std::uint64_t>()};
+  if (!Version.isValid())
+    throw std::out_of_range("a version of the store is too large");
+  return Version;
 }
 
 StoreRelay decodeStoreRelay(const Json &In) {
   StoreRelay R;
   In.at(1).get_to(R.m_sender);
-  In.at(2).get_to(R.m_from);
-  In.at(3).get_to(R.m_to);
+  const Json &From = In.at(2);
+  const std::uint64_t Era =
+      From.is_array() ? From.at(0).get<std::uint64_t>() : 0;
+  R.m_from = decodeVersion(Era, From.is_array() ? From.at(1) : From);
+  R.m_to = decodeVersion(Era, In.at(3));
   for (const Json &Row : In.at(4)) {
     StoreChange C;
     Row.at(0).get_to(C.m_key);
@@ -181,7 +196,7 @@
       const auto &Bytes = Row.at(1).get_binary();
       C.m_value = std::string(Bytes.begin(), Bytes.end());
     }
-    Row.at(2).get_to(C.m_revision);
+    C.m_version = decodeVersion(Era, Row.at(2));
     Row.at(3).get_to(C.m_lease);
     R.m_changes.push_back(std::move(C));
   }
--- a/src/libgateway/schedulingmessage.h
+++ b/src/libgateway/schedulingmessage.h
@@ -100,11 +100,12 @@
 };
 
 /// Store changes that a coordinator's watch returned, for the gateways of its
-/// failure domain. Complete for the revisions from m_from on up to m_to.
+/// failure domain. Complete for the versions from m_from on up to m_to; all are
+/// of one era.
 struct StoreRelay {
   std::string m_sender;
-  std::uint64_t m_from = 0;
-  std::uint64_t m_to = 0;
+  StoreVersion m_from;
+  StoreVersion m_to;
   std::vector<StoreChange> m_changes;
 };
 
--- a/src/libgateway/schedulingmessage_fuzz.cpp
+++ b/src/libgateway/schedulingmessage_fuzz.cpp
@@ -29,9 +29,9 @@
   Update.m_observation.m_pause = Milliseconds::max();
   StoreRelay Relay;
   Relay.m_sender = "vm-2";
-  Relay.m_to = std::numeric_limits<std::uint64_t>::max();
-  Relay.m_changes = {{"servers/e1", "{}", 5, 1},
-                     {"servers/e2", std::nullopt, 6, 0}};
+  Relay.m_to = {0, std::numeric_limits<std::uint64_t>::max()};
+  Relay.m_changes = {{"servers/e1", "{}", {0, 5}, 1},
+                     {"servers/e2", std::nullopt, {0, 6}, 0}};
   std::vector<std::string> Out;
   for (const SchedulingMessage &M :
        {SchedulingMessage(Request), SchedulingMessage(Long),
--- a/src/libgateway/schedulingmessage_test.cpp
+++ b/src/libgateway/schedulingmessage_test.cpp
@@ -3,6 +3,7 @@
 #include "libgateway/schedulingmessage.h"
 
 #include <gtest/gtest.h>
+#include <nlohmann/json.hpp>
 #include <random>
 
 using namespace primroseworks;
@@ -109,13 +110,13 @@
 TEST(SchedulingMessage, RelayKeepsAnyBytes) {
   StoreRelay R;
   R.m_sender = "vm-0";
-  R.m_from = 11;
-  R.m_to = 13;
-  R.m_changes = {{"k1", std::string("\0\xff{}", 4), 12, 7},
-                 {"k2", std::nullopt, 13, 0}};
+  R.m_from = {0, 11};
+  R.m_to = {0, 13};
+  R.m_changes = {{"k1", std::string("\0\xff{}", 4), {0, 12}, 7},
+                 {"k2", std::nullopt, {0, 13}, 0}};
   const StoreRelay D = roundTrip(R);
-  EXPECT_EQ(D.m_from, 11U);
-  EXPECT_EQ(D.m_to, 13U);
+  EXPECT_EQ(D.m_from, R.m_from);
+  EXPECT_EQ(D.m_to, R.m_to);
   ASSERT_EQ(D.m_changes.size(), 2U);
   EXPECT_EQ(D.m_changes[0].m_value, R.m_changes[0].m_value);
   EXPECT_EQ(D.m_changes[0].m_lease, 7U);
@@ -124,6 +125,32 @@
             (std::vector<TicketId>{3, 4}));
 }
 
+// Guards against revisions of different eras that are taken for each other, and
+// against a changed message where the store states no era.
+TEST(SchedulingMessage, RelayKeepsTheEra) {
+  StoreRelay R;
+  R.m_sender = "vm-0";
+  R.m_from = {3, 11};
+  R.m_to = {3, 13};
+  R.m_changes = {{"k1", "v", {3, 12}, 7}};
+  const StoreRelay D = roundTrip(R);
+  EXPECT_EQ(D.m_from, R.m_from);
+  EXPECT_EQ(D.m_to, R.m_to);
+  EXPECT_EQ(D.m_changes.at(0).m_version, R.m_changes[0].m_version);
+  R.m_from = {0, 11};
+  R.m_to = {0, 13};
+  R.m_changes.clear();
+  const std::string Bytes = encodeSchedulingMessage(R);
+  EXPECT_EQ(
+      nlohmann::json::from_cbor(Bytes),
+      nlohmann::json::array({4, "vm-0", 11, 13, nlohmann::json::array()}));
+  for (const StoreVersion &Odd : {StoreVersion{MaxStoreEra + 1, 1},
+                                  StoreVersion{1, std::uint64_t{1} << 40}}) {
+    R.m_from = R.m_to = Odd;
+    EXPECT_FALSE(decodeSchedulingMessage(encodeSchedulingMessage(R)));
+  }
+}
+
 TEST(SchedulingMessage, PeerReportsAreToldApart) {
   EXPECT_FALSE(isSchedulingMessage(encodePeerReport(PeerReport())));
   EXPECT_FALSE(isSchedulingMessage(""));
--- a/src/libgateway/storerelay.cpp
+++ b/src/libgateway/storerelay.cpp
@@ -14,7 +14,7 @@
 } // namespace
 
 std::vector<StoreRelay> makeRelays(const std::string &Sender,
-                                   std::uint64_t From,
+                                   const StoreVersion &From,
                                    const StoreChanges &Changes) {
   std::vector<StoreRelay> Out;
   StoreRelay Next{Sender, From, From, {}};
@@ -22,63 +22,80 @@
   const auto End = Changes.m_changes.end();
   for (auto First = Changes.m_changes.begin(); First != End;) {
     // Changes of one revision stay together.
-    const std::uint64_t Revision = First->m_revision;
+    const StoreVersion Version = First->m_version;
     std::size_t Size = 0;
     bool TooLarge = false;
     auto Last = First;
-    for (; Last != End && Last->m_revision == Revision; ++Last) {
+    for (; Last != End && Last->m_version == Version; ++Last) {
       Size += sizeOf(*Last);
       TooLarge = TooLarge || sizeOf(*Last) > MaxRelayedValueBytes;
     }
     if (TooLarge || (Bytes + Size > MaxRelayBytes && Bytes > 0)) {
       if (!Next.m_changes.empty())
         Out.push_back(Next);
-      Next.m_from = TooLarge ? Revision : Next.m_to;
+      Next.m_from = TooLarge ? Version : Next.m_to;
       Next.m_to = Next.m_from;
       Next.m_changes.clear();
       Bytes = 0;
     }
     if (!TooLarge) {
       Next.m_changes.insert(Next.m_changes.end(), First, Last);
-      Next.m_to = Revision;
+      Next.m_to = Version;
       Bytes += Size;
     }
     First = Last;
   }
-  Next.m_to = std::max(Next.m_to, Changes.m_revision);
+  Next.m_to = std::max(Next.m_to, Changes.m_version);
   Out.push_back(std::move(Next));
   return Out;
 }
 
-void StoreFollower::onRead(std::uint64_t Revision) {
+void StoreFollower::onRead(const StoreVersion &Version) {
   m_reading = false;
   m_missedChanges = false;
-  m_revision = Revision;
+  m_version = Version;
 }
 
 std::vector<StoreChange>
 StoreFollower::takeNew(const std::vector<StoreChange> &Changes,
-                       std::uint64_t To) {
+                       const StoreVersion &To) {
   std::vector<StoreChange> Out;
   std::copy_if(
       Changes.begin(), Changes.end(), std::back_inserter(Out),
-      [this](const StoreChange &C) { return C.m_revision > m_revision; });
-  m_revision = std::max(m_revision, To);
+      [this](const StoreChange &C) { return C.m_version > m_version; });
+  m_version = std::max(m_version, To);
   return Out;
 }
 
-std::vector<StoreChange> StoreFollower::onWatched(const StoreChanges &Changes) {
+std::optional<std::vector<StoreChange>>
+StoreFollower::onWatched(const StoreChanges &Changes) {
+  if (Changes.m_version.m_era != m_version.m_era)
+    return std::nullopt;
   m_missedChanges = false;
-  return takeNew(Changes.m_changes, Changes.m_revision);
+  return takeNew(Changes.m_changes, Changes.m_version);
+}
+
+RelayFit StoreFollower::fit(const StoreRelay &Relay) const {
+  if (Relay.m_to.m_era < m_version.m_era)
+    return RelayFit::OlderEra;
+  if (Relay.m_to.m_era > m_version.m_era)
+    return RelayFit::NewerEra;
+  return Relay.m_from > m_version ? RelayFit::Gap : RelayFit::Follows;
 }
 
 std::optional<std::vector<StoreChange>>
 StoreFollower::onRelay(const StoreRelay &Relay, TimePoint Now) {
   if (m_reading)
     return std::nullopt;
-  if (Relay.m_from > m_revision) {
+  switch (fit(Relay)) {
+  case RelayFit::OlderEra:
+    return std::vector<StoreChange>();
+  case RelayFit::Gap:
+  case RelayFit::NewerEra:
     m_missedChanges = true;
     return std::nullopt;
+  case RelayFit::Follows:
+    break;
   }
   if (!isNewerThan(Relay))
     m_relayValidUntil = Now + RelayTimeout;
--- a/src/libgateway/storerelay.h
+++ b/src/libgateway/storerelay.h
@@ -10,6 +10,7 @@
 
 #include "libgateway/schedulingmessage.h"
 #include "libgateway/store.h"
+#include "primroseworks/names.h"
 
 #include <optional>
 #include <string>
@@ -25,33 +26,50 @@
 /// call.
 inline constexpr Milliseconds RelayTimeout{1200};
 
-/// Splits the changes after revision From into relays that fit in datagrams. A
+/// Splits the changes after version From into relays that fit in datagrams. A
 /// change that is too large is left out, so that the receivers notice a gap and
 /// read it themselves.
 std::vector<StoreRelay> makeRelays(const std::string &Sender,
-                                   std::uint64_t From,
+                                   const StoreVersion &From,
                                    const StoreChanges &Changes);
 
-/// Revision of a gateway's copy of the store, which its own watch and relays
-/// advance.
+/// How a relay fits to the receiver's copy of the store.
+enum class RelayFit {
+  Follows,  ///< It continues or confirms the copy.
+  Gap,      ///< Changes between the copy and the relay are missing.
+  OlderEra, ///< The store came back after it; the copy is from after that.
+  NewerEra  ///< The store came back before it; the copy is from before that.
+};
+inline constexpr NameTable<RelayFit, 4> RelayFitNames = {
+    {{RelayFit::Follows, "follows"},
+     {RelayFit::Gap, "gap"},
+     {RelayFit::OlderEra, "older_era"},
+     {RelayFit::NewerEra, "newer_era"}}};
+
+/// Version of a gateway's copy of the store, which its own watch and relays
+/// advance. Its era changes with a complete read only.
 class StoreFollower {
 public:
   /// The copy is being read again: relays are ignored until onRead().
   void onReadStarted() { m_reading = true; }
-  /// The copy is complete up to Revision.
-  void onRead(std::uint64_t Revision);
-  /// Returns the new ones of the changes that the gateway's own watch returned.
-  std::vector<StoreChange> onWatched(const StoreChanges &Changes);
+  /// The copy is complete up to Version.
+  void onRead(const StoreVersion &Version);
+  /// Returns the new ones of the changes that the gateway's own watch returned;
+  /// nothing if they are of another era, so that the store must be read again.
+  std::optional<std::vector<StoreChange>>
+  onWatched(const StoreChanges &Changes);
+  RelayFit fit(const StoreRelay &Relay) const;
   /// Whether the copy is newer than what a relay confirms, as after a pause of
   /// its sender.
   bool isNewerThan(const StoreRelay &Relay) const {
-    return m_revision > Relay.m_to;
+    return m_version > Relay.m_to;
   }
   /// Returns the new changes of a relay; nothing if changes before them are
-  /// missing.
+  /// missing or it is of a newer era, so that the store must be asked. A relay
+  /// of an older era has no new changes and does not keep the copy up to date.
   std::optional<std::vector<StoreChange>> onRelay(const StoreRelay &Relay,
                                                   TimePoint Now);
-  std::uint64_t revision() const { return m_revision; }
+  const StoreVersion &version() const { return m_version; }
   /// Whether relays keep the copy up to date.
   bool followsRelay(TimePoint Now) const {
     return !m_reading && !m_missedChanges && Now < m_relayValidUntil;
@@ -60,11 +78,11 @@
 
 private:
   std::vector<StoreChange> takeNew(const std::vector<StoreChange> &Changes,
-                                   std::uint64_t To);
+                                   const StoreVersion &To);
 
-  std::uint64_t m_revision = 0;
+  StoreVersion m_version;
   bool m_reading = true;
-  /// A relay showed that changes after m_revision are missing here.
+  /// A relay showed that changes after m_version are missing here.
   bool m_missedChanges = false;
   TimePoint m_relayValidUntil{};
 };
