soak: the store comes back from an older copy while faults are in force

Cause: the soak played no loss of acknowledged writes. Change: each 1.5 to 5 s the store's stand-in goes back by up to 60 revisions under the next era; the operator and the endpoints write their entries again 0.1 to 1.3 s later. The draws have a generator of their own, so that the other faults of a seed stay as they were.

--- a/testsuite/soak/faults.cpp
+++ b/testsuite/soak/faults.cpp
@@ -9,6 +9,14 @@
 using namespace platform::testing;
 namespace wire = platform::wire;
 
+namespace {
+
+/// Most writes that the store loses. The gateways' keys and the engines'
+/// records are a few tens of them.
+constexpr std::uint64_t MaxLostRevisions = 60;
+
+} // namespace
+
 void Soak::drawProcessFault(GatewayProcess &P, Milliseconds Time) {
   if (!P.running() || P.m_paused)
     return;
@@ -88,6 +96,39 @@
                  [this, Key] { m_store.remove(Key); }, Time));
 }
 
+/// The store comes back from an older copy now and then.
+asio::awaitable<void> Soak::drawRestores() {
+  while (m_drawingRestores) {
+    co_await pause(Milliseconds(1500 + m_restoreRandom() % 3500));
+    if (m_drawingRestores)
+      restoreStore();
+  }
+}
+
+void Soak::restoreStore() {
+  const auto Revisions = 1 + m_restoreRandom() % MaxLostRevisions;
+  const Milliseconds Pause(100 + m_restoreRandom() % 1200);
+  note(fmt::format("the store comes back from a copy {} revisions old, its "
+                   "writers {} ms later",
+                   Revisions, Pause.count()));
+  start(applyFor([this, Revisions] { m_store.restoreCopy(Revisions); },
+                 [this] { rewriteEntries(); }, Pause));
+}
+
+/// The operator and the engines write again what the store lost. The leases of
+/// engines that are gone end.
+void Soak::rewriteEntries() {
+  putConfiguration();
+  std::set<std::string> Present;
+  for (const auto &E : m_engines) {
+    E->renewRecord();
+    Present.insert(wire::EndpointPrefix + E->id());
+  }
+  for (const std::string &Key : m_store.keys(wire::EndpointPrefix))
+    if (!Present.count(Key))
+      m_store.remove(Key);
+}
+
 void Soak::restartEngine(EngineStandin &E) {
   E.crash();
   E.removeRecord();
--- a/testsuite/soak/soak.cpp
+++ b/testsuite/soak/soak.cpp
@@ -64,7 +64,8 @@
 
 Soak::Soak(SoakOptions Options)
     : m_options(std::move(Options)), m_random(m_options.m_seed), m_store(m_io),
-      m_partRandom(m_options.m_seed), m_silenceRandom(m_options.m_seed) {
+      m_partRandom(m_options.m_seed), m_silenceRandom(m_options.m_seed),
+      m_restoreRandom(m_options.m_seed) {
   std::filesystem::create_directories(m_options.m_folder);
   m_baseFaults.m_silenceProbability = BaseSilences;
   const std::string Net =
@@ -364,7 +365,10 @@
   start(sendDeadlyParts());
   m_drawingSilences = true;
   start(drawSilences());
+  m_drawingRestores = true;
+  start(drawRestores());
   co_await injectFaults();
+  m_drawingRestores = false;
   m_sendingDeadlyParts = false;
   m_drawingSilences = false;
   note("all faults are over");
--- a/testsuite/soak/soak.h
+++ b/testsuite/soak/soak.h
@@ -73,6 +73,9 @@
                Milliseconds Shortest);
   void drawSilence(unsigned First, unsigned Count);
   void drawOddEntry(Milliseconds Time);
+  asio::awaitable<void> drawRestores();
+  void restoreStore();
+  void rewriteEntries();
   void restartEngine(EngineStandin &E);
   void endUnderRequest(const std::string &Endpoint);
   void drainEngine(EngineStandin &E, Milliseconds Time);
@@ -115,6 +118,10 @@
   /// Draws which endpoints fall silent; the other draws stay those of the seed.
   std::mt19937_64 m_silenceRandom;
   bool m_drawingSilences = false;
+  /// Draws when the store comes back from a copy; the other draws stay those of
+  /// the seed.
+  std::mt19937_64 m_restoreRandom;
+  bool m_drawingRestores = false;
   unsigned m_crashingPaths = 0; ///< No two requests with it are alike.
   /// Of endpoints without a drawn fault.
   platform::testing::EngineFaults m_baseFaults;
