Client accounts in the request path, and a limit on the age of their keys

A request needs the key of an account on every route that is not public if the configuration has accounts. 401 without one; the endpoint gets the account's name and never the key; the account's rank replaces the route's.

With accounts.revoke-limit-ms and accounts.revoke-strict, a VM whose copy of the configuration was not confirmed in time refuses requests with keys. The age counts from the sending of the store call; a coordinator's relay carries it.

A complete list of the store with 100,000 keys would take 37 KB/s of a VM's 28 KB/s, so its interval grows with the configuration. A watch answer that is too large leads to a list instead of the same watch again.

--- a/src/libgateway/core.cpp
+++ b/src/libgateway/core.cpp
@@ -28,6 +28,10 @@
            CrashSuspects Suspects)
     : m_io(Io), m_settings(std::move(Options)), m_dialect(Platform),
       m_metrics(Metrics::create()),
+      // parseSettings() has checked the limits.
+      m_copyFreshness(CopyFreshness::create(
+                          {m_settings.m_revokeLimit, m_settings.m_revokeStrict})
+                          .value()),
       m_chooser(m_settings.m_failureDomain, m_settings.m_regions),
       m_memory(budgetBytes(m_settings)), m_pool(Io),
       m_suspects(std::move(Suspects)), m_endpointProbe(Io, m_pool),
--- a/src/libgateway/core.h
+++ b/src/libgateway/core.h
@@ -3,6 +3,7 @@
 #ifndef PRIMROSEWORKS_LIBGATEWAY_CORE_H
 #define PRIMROSEWORKS_LIBGATEWAY_CORE_H
 
+#include "libaccounts/copyfreshness.h"
 #include "libgateway/brokenattempts.h"
 #include "libgateway/chooser.h"
 #include "libgateway/connections.h"
@@ -10,6 +11,7 @@
 #include "libgateway/dialect.h"
 #include "libgateway/endpointprobe.h"
 #include "libgateway/endpoints.h"
+#include "libgateway/leadership.h"
 #include "libgateway/metrics.h"
 #include "libgateway/retrywindow.h"
 #include "libgateway/settings.h"
@@ -29,6 +31,8 @@
 /// Reads the clock. Only coroutines and handlers do; functions that decide take
 /// the time as an argument.
 inline TimePoint clockNow() { return std::chrono::steady_clock::now(); }
+/// The same for the clock that runs on while the VM is frozen.
+inline BootDuration bootNow() { return BootClock::now().time_since_epoch(); }
 
 /// Receives the outcome for a request in the wait queue.
 class Waiter {
@@ -150,6 +154,7 @@
   /// When a list, a watch or a relay last showed that the copies of the
   /// configuration and the endpoints are complete.
   TimePoint m_copyConfirmedAt{};
+  CopyFreshness m_copyFreshness; ///< Of m_configuration, for its accounts.
   EndpointTable m_endpoints;
   Chooser m_chooser;
   WaitQueue m_queue;
--- a/src/libgateway/dialect.h
+++ b/src/libgateway/dialect.h
@@ -43,6 +43,9 @@
   /// Whether a caller's header is forwarded to the engine. Hop-by-hop headers
   /// and those that the gateway sets itself are not.
   virtual bool forwardsHeader(std::string_view LowerCaseName) const = 0;
+  /// Whether a header states the client account or its key. If the
+  /// configuration has accounts, such a header is not forwarded.
+  virtual bool isAccountHeader(std::string_view LowerCaseName) const = 0;
   /// Header lines that the gateway adds, each with its line terminator.
   virtual std::string attemptHeaders(const AttemptMetadata &Metadata) const = 0;
 
--- a/src/libgateway/exchange.cpp
+++ b/src/libgateway/exchange.cpp
@@ -192,7 +192,7 @@
   m_query.m_adapter = m_requestMetadata.m_adapter;
   m_query.m_size = {m_requestMetadata.kvTokens(),
                     m_requestMetadata.m_promptTokens};
-  m_query.m_rank = m_route->m_rank;
+  m_query.m_rank = rank();
   m_query.m_affinity = affinityHash(m_requestMetadata);
   m_query.m_mayProbe = m_route->mayRunAgain();
   m_query.m_gatewayCount = m_core.m_chooserCount;
@@ -230,6 +230,9 @@
   m_route = m_configuration->find(*Host, m_head.path());
   if (!m_route)
     co_return co_await sendLocalResponse(404, "no_route", Duration::zero());
+  const KeyVerdict Verdict = identifyAccount();
+  if (Verdict != KeyVerdict::Known && Verdict != KeyVerdict::NotUsed)
+    co_return co_await rejectKey(Verdict);
   initFromRequest(Start);
   bool MaySend = true;
   for (;;) {
--- a/src/libgateway/exchange.h
+++ b/src/libgateway/exchange.h
@@ -2,6 +2,7 @@
 #ifndef PRIMROSEWORKS_LIBGATEWAY_EXCHANGE_H
 #define PRIMROSEWORKS_LIBGATEWAY_EXCHANGE_H
 
+#include "libaccounts/keycheck.h"
 #include "libgateway/attempt.h"
 #include "libgateway/core.h"
 #include "libgateway/failoverprobe.h"
@@ -48,6 +49,10 @@
   asio::awaitable<bool> endAfterException();
   void withdrawWait();
   asio::awaitable<bool> rejectUnconfigured(TimePoint Now);
+  KeyVerdict identifyAccount();
+  unsigned rank() const;
+  bool forwardsHeader(const HttpHeader &Header) const;
+  asio::awaitable<bool> rejectKey(KeyVerdict Verdict);
   asio::awaitable<bool> finishAfterAttempt(AttemptOutcome Outcome);
   asio::awaitable<bool> acquireEndpoint();
   bool isRefusedSuspect(TimePoint Now);
@@ -138,6 +143,8 @@
   TimePoint m_deadline{};           ///< From the caller or the route's timeout.
   ConfigurationPtr m_configuration; ///< In force when the request arrived.
   const Route *m_route = nullptr;   ///< Points into m_configuration.
+  /// Points into m_configuration; null if the request has none.
+  const ClientAccount *m_account = nullptr;
   RequestMetadata m_requestMetadata;
   ChoiceQuery m_query;
   std::uint64_t m_fingerprint = 0; ///< Equal for a retry of the same request.
--- a/src/libgateway/exchangeattempt.cpp
+++ b/src/libgateway/exchangeattempt.cpp
@@ -22,18 +22,16 @@
 std::string Exchange::serializeRequestHead(TimePoint Now) const {
   std::string Request =
       m_head.m_method + ' ' + m_head.m_target + " HTTP/1.1\r\n";
-  for (const HttpHeader &H : m_head.m_headers) {
-    if (m_head.isHopByHop(H) || H.m_lowerName == "content-length" ||
-        !m_core.m_dialect.forwardsHeader(H.m_lowerName))
-      continue;
-    Request += H.m_name + ": " + H.m_value + "\r\n";
-  }
+  for (const HttpHeader &H : m_head.m_headers)
+    if (forwardsHeader(H))
+      Request += H.m_name + ": " + H.m_value + "\r\n";
   AttemptMetadata Metadata;
   Metadata.m_endpoint = m_attempt.m_choice.m_endpoint;
   Metadata.m_deadline =
       std::max(Milliseconds(1),
                std::chrono::duration_cast<Milliseconds>(m_deadline - Now));
-  Metadata.m_rank = m_route->m_rank;
+  Metadata.m_rank = rank();
+  Metadata.m_account = m_query.m_account;
   Metadata.m_lastEventId = m_lastEventId;
   Metadata.m_engine = m_engineService;
   Request += m_core.m_dialect.attemptHeaders(Metadata);
--- a/src/libgateway/exchangeresponse.cpp
+++ b/src/libgateway/exchangeresponse.cpp
@@ -103,6 +103,8 @@
          (NotRun ? "not-run" : "unknown") + "\r\n";
   if (RetryAfter > Duration::zero())
     Out += fmt::format("Retry-After: {:.2f}\r\n", toSeconds(RetryAfter));
+  if (Status == 401)
+    Out += "WWW-Authenticate: Bearer\r\n";
   m_keepAlive = m_keepAlive && !m_core.m_stopping;
   if (!m_keepAlive)
     Out += "Connection: close\r\n";
@@ -166,7 +168,7 @@
     m_core.m_metrics->count("answer_lost_after_silence");
   const std::string Kind =
       m_route ? std::string(nameOf(RouteKindNames, m_route->m_kind)) : "none";
-  const unsigned Rank = m_route ? m_route->m_rank : 0;
+  const unsigned Rank = m_route ? rank() : 0;
   const std::string Reason = m_reason.empty() ? "none" : m_reason;
   m_core.m_metrics->request(Kind, Rank, m_outcome, Reason, m_waited, FirstByte,
                             Now - m_arrivedAt);
@@ -196,6 +198,7 @@
       .text("model", m_query.m_model)
       .text("adapter", m_query.m_adapter)
       .number("rank", Rank)
+      .text("account", m_query.m_account)
       .number("config", m_configuration ? static_cast<std::int64_t>(
                                               m_configuration->m_version)
                                         : 0)
--- a/src/libgateway/gateway.cpp
+++ b/src/libgateway/gateway.cpp
@@ -318,6 +318,7 @@
   for (;;) {
     co_await sleep(MaintenanceInterval);
     const TimePoint Now = clockNow();
+    checkAccountsAge(bootNow());
     m_core.dispatchWaiting(Now);
     if (++Count % 2 == 0)
       decisionlog::flush();
--- a/src/libgateway/gateway.h
+++ b/src/libgateway/gateway.h
@@ -29,8 +29,6 @@
 
 /// Adapter requests that arrive within this time share one report.
 inline constexpr Milliseconds AdapterRequestBatchDelay{3};
-/// Interval between complete lists, which are read whatever the watch reported.
-inline constexpr Seconds RelistInterval{120};
 /// A gateway that just started claims leadership only after this time, when it
 /// knows the other gateways.
 inline constexpr Milliseconds StartClaimDelay{400};
@@ -110,6 +108,13 @@
   /// lapsed in an outage of the store return soon after it.
   TimePoint lapsedRecordsUntil(TimePoint Now) const;
   void onCopyConfirmed(TimePoint Now);
+  void onAccountsApplied();
+  void checkAccountsAge(BootDuration Now);
+  void reportAccountsAge(BootDuration Now);
+  asio::awaitable<void> confirmAccounts();
+  asio::awaitable<bool> confirmAccountsOnce();
+  void relayChanges(std::vector<StoreRelay> Relays, BootDuration SentAt,
+                    bool Complete);
   void checkCopyAge(TimePoint Now);
   /// Time since the copy of the store was last confirmed; 0 before the first
   /// time.
@@ -158,6 +163,9 @@
   TimePoint m_lastStoreSuccess{}; ///< Last successful call.
   /// "store_copy_stale" was logged, and no confirmation followed yet.
   bool m_copyStale = false;
+  std::size_t m_configurationBytes = 0; ///< Of the document in the store.
+  bool m_confirming = false;            ///< confirmAccounts() runs.
+  bool m_accountsStale = false;         ///< As last logged.
   /// Until when records that lapsed in the last outage may return.
   TimePoint m_lapsedRecordsUntil{};
   std::size_t m_unusableEntries = 0;
--- a/src/libgateway/gatewaystore.cpp
+++ b/src/libgateway/gatewaystore.cpp
@@ -87,6 +87,7 @@
     return;
   }
   const std::uint64_t Version = Next.value().m_version;
+  m_configurationBytes = Item.m_value.size();
   if (m_core.m_configuration && Version <= m_core.m_configuration->m_version)
     return; // An older version never replaces a newer one.
   m_core.m_configuration =
@@ -100,6 +101,7 @@
       .number("routes", static_cast<std::int64_t>(
                             m_core.m_configuration->m_routes.size()))
       .real("confirmed_ms_ago", confirmedMsAgo(clockNow()));
+  onAccountsApplied();
   m_core.dispatchWaiting(clockNow());
 }
 
@@ -166,6 +168,7 @@
 asio::awaitable<Result<std::uint64_t>> Gateway::listStore() {
   const std::string Key = m_core.m_dialect.configurationKey();
   const TimePoint ReadAt = clockNow();
+  const BootDuration SentAt = bootNow();
   Result<StoreRange> List = co_await m_store.range(Key);
   onStoreResult(List.has_value(), "configuration");
   if (!List)
@@ -177,6 +180,7 @@
   for (const StoreItem &Item : List.value().m_items)
     if (Item.m_key == Key)
       applyConfiguration(Item);
+  m_core.m_copyFreshness.onConfirmed(SentAt, bootNow());
   List = co_await m_store.range(m_core.m_dialect.endpointPrefix());
   onStoreResult(List.has_value(), "endpoints");
   if (!List)
@@ -248,6 +252,7 @@
 asio::awaitable<bool> Gateway::watchOnce(Duration &Backoff) {
   const std::uint64_t From = m_storeFollower.revision();
   const TimePoint SentAt = clockNow();
+  const BootDuration BootSentAt = bootNow();
   Milliseconds Wait =
       watchWait(SentAt - m_core.m_copyConfirmedAt, changeLimit());
   if (m_peers.audience().isCoordinator())
@@ -265,17 +270,23 @@
     // reports that the history no longer has them.
     co_await sleep(Backoff);
     Backoff = std::min<Duration>(2 * Backoff, MaxStoreBackoff);
-    co_return true;
+    // Several versions of a large configuration may exceed the size of a
+    // response; the list has one of them.
+    co_return Changes.error().m_kind != ErrorKind::Full;
   }
   Backoff = MinStoreBackoff;
   if (Changes.value().m_historyLost)
     co_return false;
-  for (const StoreRelay &Relay :
-       makeRelays(m_core.m_settings.m_vm, From, Changes.value()))
-    m_peers.relay(Relay);
+  // The store may return changes in parts, so only an answer without any shows
+  // that the copy of the configuration is complete.
+  const bool Complete = Changes.value().m_changes.empty();
+  relayChanges(makeRelays(m_core.m_settings.m_vm, From, Changes.value()),
+               BootSentAt, Complete);
   applyChanges(m_storeFollower.onWatched(Changes.value()),
                Changes.value().m_revision);
-  if (!Changes.value().m_changes.empty())
+  if (Complete)
+    m_core.m_copyFreshness.onConfirmed(BootSentAt, bootNow());
+  else
     co_await sleep(pauseBetweenWatches());
   co_return true;
 }
@@ -294,7 +305,8 @@
     }
     Backoff = MinStoreBackoff;
     m_storeFollower.onRead(Revision.value());
-    const TimePoint RelistAt = clockNow() + RelistInterval;
+    const TimePoint RelistAt =
+        clockNow() + relistInterval(m_configurationBytes);
     while (clockNow() < RelistAt) {
       if (co_await awaitRelayEnd())
         continue;
@@ -315,8 +327,11 @@
     m_relayTimer.cancel();
     return;
   }
-  if (!m_storeFollower.isNewerThan(Relay))
-    applyChanges(*Changes, Relay.m_to);
+  if (m_storeFollower.isNewerThan(Relay))
+    return;
+  applyChanges(*Changes, Relay.m_to);
+  if (Relay.m_age)
+    m_core.m_copyFreshness.onRelayed(*Relay.m_age, bootNow());
 }
 
 } // namespace primroseworks::gateway
--- a/src/libgateway/scheduler_test.cpp
+++ b/src/libgateway/scheduler_test.cpp
@@ -37,6 +37,7 @@
     return {};
   }
   bool forwardsHeader(std::string_view) const override { return true; }
+  bool isAccountHeader(std::string_view) const override { return false; }
   std::string attemptHeaders(const AttemptMetadata &) const override {
     return "";
   }
--- a/src/libgateway/schedulingmessage.cpp
+++ b/src/libgateway/schedulingmessage.cpp
@@ -166,7 +166,8 @@
                    : Json(),
          C.m_revision, C.m_lease}));
   return Json::array({encodeEnum(MessageKind::StoreRelay), R.m_sender, R.m_from,
-                      R.m_to, std::move(Changes)});
+                      R.m_to, std::move(Changes),
+                      R.m_age ? Json(R.m_age->count()) : Json()});
 }
 
 StoreRelay decodeStoreRelay(const Json &In) {
@@ -185,6 +186,8 @@
     Row.at(3).get_to(C.m_lease);
     R.m_changes.push_back(std::move(C));
   }
+  if (In.size() > 5 && !In.at(5).is_null())
+    R.m_age = decodeTime(In.at(5));
   return R;
 }
 
--- a/src/libgateway/schedulingmessage.h
+++ b/src/libgateway/schedulingmessage.h
@@ -106,6 +106,9 @@
   std::uint64_t m_from = 0;
   std::uint64_t m_to = 0;
   std::vector<StoreChange> m_changes;
+  /// Time since the sending of the store call whose answer showed that there
+  /// are no further changes; empty if none did.
+  std::optional<Milliseconds> m_age;
 };
 
 using SchedulingMessage = std::variant<ScheduleRequest, ScheduleReply,
--- a/src/libgateway/schedulingmessage_test.cpp
+++ b/src/libgateway/schedulingmessage_test.cpp
@@ -113,7 +113,10 @@
   R.m_to = 13;
   R.m_changes = {{"k1", std::string("\0\xff{}", 4), 12, 7},
                  {"k2", std::nullopt, 13, 0}};
+  EXPECT_FALSE(roundTrip(R).m_age);
+  R.m_age = Milliseconds(512);
   const StoreRelay D = roundTrip(R);
+  EXPECT_EQ(D.m_age, Milliseconds(512));
   EXPECT_EQ(D.m_from, 11U);
   EXPECT_EQ(D.m_to, 13U);
   ASSERT_EQ(D.m_changes.size(), 2U);
--- a/src/libgateway/settings.cpp
+++ b/src/libgateway/settings.cpp
@@ -1,5 +1,6 @@
 // Parsing and validation of the settings file.
 #include "libgateway/settings.h"
+#include "libaccounts/copyfreshness.h"
 
 #include <fstream>
 #include <functional>
@@ -48,7 +49,7 @@
   return Text.size() - Colon <= 6;
 }
 
-enum class SettingType { Name, Address, OptionalAddress, Number };
+enum class SettingType { Name, Address, OptionalAddress, Number, Flag };
 
 struct SettingSpec {
   const char *m_key;
@@ -138,6 +139,17 @@
       {"retries.extra", SettingType::Number, "repeats of all VMs", 0, 1e6,
        [](S &O, Str, double V) { O.m_retries.m_extra = V; },
        [](const S &O) { return shown(O.m_retries.m_extra); }},
+      {"accounts.revoke-limit-ms", SettingType::Number, "ms, 0: no limit", 0,
+       600000,
+       [](S &O, Str, double V) {
+         O.m_revokeLimit = Milliseconds(static_cast<long>(V));
+       },
+       [](const S &O) { return shown(O.m_revokeLimit.count()); }},
+      {"accounts.revoke-strict", SettingType::Flag, "true or false", 0, 1,
+       [](S &O, Str, double V) { O.m_revokeStrict = V != 0; },
+       [](const S &O) {
+         return std::string(O.m_revokeStrict ? "true" : "false");
+       }},
   };
   return Table;
 }
@@ -148,7 +160,7 @@
          Key == "vm.memory-mb" || Key == "listen.metrics" ||
          Key == "store.lease-ms" || Key == "store.drain-limit-ms" ||
          Key == "store.configuration-limit-ms" || Key == "stop.limit-s" ||
-         Key.rfind("retries.", 0) == 0;
+         Key.rfind("retries.", 0) == 0 || Key.rfind("accounts.", 0) == 0;
 }
 
 Result<void> readOne(const YAML::Node &Root, const SettingSpec &Spec,
@@ -172,6 +184,13 @@
     Spec.m_set(Out, Text, Value);
     return boost::outcome_v2::success();
   }
+  if (Spec.m_type == SettingType::Flag) {
+    bool Value = false;
+    if (!YAML::convert<bool>::decode(Node, Value))
+      return settingError(Spec.m_key, found(Node), Spec.m_unit);
+    Spec.m_set(Out, Text, Value ? 1 : 0);
+    return boost::outcome_v2::success();
+  }
   if (Text.empty() && Spec.m_type == SettingType::OptionalAddress)
     return boost::outcome_v2::success();
   if (Spec.m_type != SettingType::Name && !isAddress(Text))
@@ -200,6 +219,12 @@
   for (const SettingSpec &Spec : specs()) {
     BOOST_OUTCOME_TRYV(readOne(Root, Spec, Out));
   }
+  const Result<CopyFreshness> Fresh =
+      CopyFreshness::create({Out.m_revokeLimit, Out.m_revokeStrict});
+  if (!Fresh)
+    return makeError(ErrorKind::InvalidArgument,
+                     "setting 'accounts.revoke-limit-ms': " +
+                         Fresh.error().m_message);
   const YAML::Node Domains = at(Root, "failure-domains");
   if (!Domains.IsMap())
     return settingError("failure-domains", found(Domains),
--- a/src/libgateway/settings.h
+++ b/src/libgateway/settings.h
@@ -28,6 +28,11 @@
   Milliseconds m_configurationLimit{2500};
   Milliseconds m_stopLimit{8000}; ///< From SIGTERM until the process is killed.
   RetryLimit m_retries;
+  /// A removed API key stops working within this time; 0: the age of the copy
+  /// of the configuration has no limit.
+  Milliseconds m_revokeLimit{0};
+  /// Requests with keys are refused while the copy is too old for that.
+  bool m_revokeStrict = false;
   unsigned m_descriptors = 1024; ///< Maximum number of open files and sockets.
   double m_cpuShare = 1;         ///< Cores that this VM may use.
   /// Memory that this process may use; 0: what it can read of its VM.
--- a/src/libgateway/settings_test.cpp
+++ b/src/libgateway/settings_test.cpp
@@ -65,3 +65,27 @@
         << S.error().m_message;
   }
 }
+
+// Guards against refusals in a deployment that does not ask for them, and
+// against a limit that no VM can keep.
+TEST(GatewaySettings, LimitOfRevokedKeysIsOptional) {
+  const auto Read = [](const std::string &Section) {
+    return parseSettings(Good + Section);
+  };
+  for (const char *Absent : {"", "accounts:\n"}) {
+    EXPECT_EQ(Read(Absent).value().m_revokeLimit, Milliseconds(0));
+    EXPECT_FALSE(Read(Absent).value().m_revokeStrict);
+  }
+  const Settings S =
+      Read("accounts:\n  revoke-limit-ms: 5000\n  revoke-strict: true\n")
+          .value();
+  EXPECT_EQ(S.m_revokeLimit, Milliseconds(5000));
+  EXPECT_TRUE(S.m_revokeStrict);
+  for (const auto &[Section, Named] :
+       {std::pair("accounts:\n  revoke-limit-ms: 700\n", "revoke-limit-ms"),
+        std::pair("accounts:\n  revoke-strict: perhaps\n", "revoke-strict")}) {
+    const Result<Settings> Bad = Read(Section);
+    ASSERT_FALSE(Bad) << Section;
+    EXPECT_NE(Bad.error().m_message.find(Named), std::string::npos);
+  }
+}
--- a/src/libgateway/storerelay.cpp
+++ b/src/libgateway/storerelay.cpp
@@ -17,7 +17,7 @@
                                    std::uint64_t From,
                                    const StoreChanges &Changes) {
   std::vector<StoreRelay> Out;
-  StoreRelay Next{Sender, From, From, {}};
+  StoreRelay Next{Sender, From, From, {}, {}};
   std::size_t Bytes = 0;
   const auto End = Changes.m_changes.end();
   for (auto First = Changes.m_changes.begin(); First != End;) {
--- a/src/libgateway/watchpause.h
+++ b/src/libgateway/watchpause.h
@@ -37,6 +37,22 @@
 inline constexpr Milliseconds MinStoreBackoff{100};
 inline constexpr Milliseconds MaxStoreBackoff{500};
 
+/// Shortest interval between complete lists, which are read whatever the watch
+/// reported.
+inline constexpr Seconds MinRelistInterval{120};
+/// Longest part of a VM's 28 KB/s of control traffic for reading the
+/// configuration again, in bytes per second.
+inline constexpr double MaxRelistRate = 4000;
+
+/// Returns the interval between complete lists, which include a configuration
+/// of this size. The store encodes its bytes in base64.
+inline Duration relistInterval(std::size_t ConfigurationBytes) {
+  constexpr double Base64Growth = 4.0 / 3;
+  const double Sent = static_cast<double>(ConfigurationBytes) * Base64Growth;
+  return std::max<Duration>(MinRelistInterval,
+                            fromSeconds(Sent / MaxRelistRate));
+}
+
 /// Returns the pause after a watch call that returned changes, so that changes
 /// in quick succession share a call. ChangeLimit is the time after which a
 /// change must be in effect.
--- a/src/libgateway/watchpause_test.cpp
+++ b/src/libgateway/watchpause_test.cpp
@@ -55,3 +55,10 @@
             << Members << " gateways, limit " << Limit.count();
       }
 }
+
+// Guards against complete lists that take up a VM's control traffic when the
+// configuration has 100,000 keys.
+TEST(RelistInterval, GrowsWithTheConfiguration) {
+  EXPECT_EQ(relistInterval(130'000), Duration(MinRelistInterval));
+  EXPECT_EQ(relistInterval(6'000'000), Duration(Seconds(2000)));
+}
