--- a/src/libaccounts/copyfreshness.h
+++ b/src/libaccounts/copyfreshness.h
@@ -30,7 +30,7 @@
 /// is stale this long before the limit.
 inline constexpr Milliseconds FreshnessMargin{500};
 /// The event loop has stalled if it did not run for this long. Decoding a
-/// configuration with 100,000 keys holds a VM of 0.12 of a core for less.
+/// configuration with 100,000 keys takes a VM of 0.12 of a core about as long.
 inline constexpr Milliseconds LoopStallLimit{1000};
 /// Added to the age in a relay: for this long a datagram may have been on its
 /// way or in the socket's buffer without a stall being noticed.
