--- a/src/libgateway/schedulingmessage.cpp
+++ b/src/libgateway/schedulingmessage.cpp
@@ -170,7 +170,8 @@
                         ? Json(R.m_from.m_revision)
                         : Json::array({R.m_from.m_era, R.m_from.m_revision});
   return Json::array({encodeEnum(MessageKind::StoreRelay), R.m_sender, From,
-                      R.m_to.m_revision, std::move(Changes)});
+                      R.m_to.m_revision, std::move(Changes),
+                      R.m_age ? Json(R.m_age->count()) : Json()});
 }
 
 /// A version of a relay; throws std::out_of_range for one that no store has.
@@ -200,6 +201,8 @@
     Row.at(3).get_to(C.m_lease);
     R.m_changes.push_back(std::move(C));
   }
+  if (In.size() > 5 && !In.at(5).is_null())
+    R.m_age = decodeTime(In.at(5));
   return R;
 }
 
--- a/src/libgateway/schedulingmessage.h
+++ b/src/libgateway/schedulingmessage.h
@@ -107,6 +107,9 @@
   StoreVersion m_from;
   StoreVersion m_to;
   std::vector<StoreChange> m_changes;
+  /// Time since the sending of the store call whose answer showed that there
+  /// are no further changes; empty if none did.
+  std::optional<Milliseconds> m_age;
 };
 
 using SchedulingMessage = std::variant<ScheduleRequest, ScheduleReply,
--- a/src/libgateway/settings.cpp
+++ b/src/libgateway/settings.cpp
@@ -1,5 +1,6 @@
 // Parsing and validation of the settings file.
 #include "libgateway/settings.h"
+#include "libaccounts/copyfreshness.h"
 
 #include <fstream>
 #include <functional>
@@ -143,6 +144,17 @@
        [](const S &O) -> std::string {
          return O.m_adaptivePace ? "true" : "false";
        }},
+      {"accounts.revoke-limit-ms", SettingType::Number, "ms, 0: no limit", 0,
+       600000,
+       [](S &O, Str, double V) {
+         O.m_revokeLimit = Milliseconds(static_cast<long>(V));
+       },
+       [](const S &O) { return shown(O.m_revokeLimit.count()); }},
+      {"accounts.revoke-strict", SettingType::Flag, "true or false", 0, 1,
+       [](S &O, Str, double V) { O.m_revokeStrict = V != 0; },
+       [](const S &O) {
+         return std::string(O.m_revokeStrict ? "true" : "false");
+       }},
   };
   return Table;
 }
@@ -153,7 +165,8 @@
          Key == "vm.memory-mb" || Key == "listen.metrics" ||
          Key == "store.lease-ms" || Key == "store.drain-limit-ms" ||
          Key == "store.configuration-limit-ms" || Key == "stop.limit-s" ||
-         Key == "endpoints.adaptive-pace" || Key.rfind("retries.", 0) == 0;
+         Key == "endpoints.adaptive-pace" || Key.rfind("retries.", 0) == 0 ||
+         Key.rfind("accounts.", 0) == 0;
 }
 
 Result<void> readOne(const YAML::Node &Root, const SettingSpec &Spec,
@@ -212,6 +225,12 @@
   for (const SettingSpec &Spec : specs()) {
     BOOST_OUTCOME_TRYV(readOne(Root, Spec, Out));
   }
+  const Result<CopyFreshness> Fresh =
+      CopyFreshness::create({Out.m_revokeLimit, Out.m_revokeStrict});
+  if (!Fresh)
+    return makeError(ErrorKind::InvalidArgument,
+                     "setting 'accounts.revoke-limit-ms': " +
+                         Fresh.error().m_message);
   const YAML::Node Domains = at(Root, "failure-domains");
   if (!Domains.IsMap())
     return settingError("failure-domains", found(Domains),
--- a/src/libgateway/storerelay_test.cpp
+++ b/src/libgateway/storerelay_test.cpp
@@ -170,7 +170,7 @@
 TEST(StoreRelay, RelaysOfAnotherEraAreNotApplied) {
   const auto RelayOf = [](std::uint64_t Era, std::uint64_t From,
                           std::uint64_t To) {
-    StoreRelay R{"vm-0", {Era, From}, {Era, To}, {}};
+    StoreRelay R{"vm-0", {Era, From}, {Era, To}, {}, {}};
     R.m_changes = {{"key", "value", {Era, To}, 0}};
     return R;
   };
