--- a/testsuite/soak/soak.cpp
+++ b/testsuite/soak/soak.cpp
@@ -414,6 +414,11 @@
   for (const auto &E : m_engines)
     if (E->roomViolations() > 0)
       m_check.violation(E->id() + " was ordered to load without room for it");
+  for (const auto &E : m_engines)
+    if (E->formerEraOrders() > 0)
+      m_check.violation(
+          fmt::format("{} got {} orders under a claim that the store had lost",
+                      E->id(), E->formerEraOrders()));
   for (const auto &E : m_engines)
     if (E->uncutResponses() > 0)
       m_check.violation(E->id() + " could send bytes without end");
