gateway: a relay that comes while the store is read is a gap, whatever its era

Cause: each start in an era from 1 on logged relays as of another era, since the copy has no era yet. Change: StoreFollower::fit() is Gap while the copy is read.

--- a/src/libgateway/storerelay.cpp
+++ b/src/libgateway/storerelay.cpp
@@ -76,6 +76,8 @@
 }
 
 RelayFit StoreFollower::fit(const StoreRelay &Relay) const {
+  if (m_reading)
+    return RelayFit::Gap;
   if (Relay.m_to.m_era < m_version.m_era)
     return RelayFit::OlderEra;
   if (Relay.m_to.m_era > m_version.m_era)
--- a/src/libgateway/storerelay.h
+++ b/src/libgateway/storerelay.h
@@ -36,7 +36,7 @@
 /// How a relay fits to the receiver's copy of the store.
 enum class RelayFit {
   Follows,  ///< It continues or confirms the copy.
-  Gap,      ///< Changes between the copy and the relay are missing.
+  Gap,      ///< Changes between them are missing, or the copy is being read.
   OlderEra, ///< The store came back after it; the copy is from after that.
   NewerEra  ///< The store came back before it; the copy is from before that.
 };
--- a/src/libgateway/storerelay_test.cpp
+++ b/src/libgateway/storerelay_test.cpp
@@ -175,6 +175,7 @@
     return R;
   };
   StoreFollower F;
+  EXPECT_EQ(F.fit(RelayOf(1, 8, 400)), RelayFit::Gap) << "nothing was read";
   F.onRead({2, 10});
   const auto Older = F.onRelay(RelayOf(1, 8, 400), Start);
   ASSERT_TRUE(Older);
