libgateway: fair shares of accounts in the wait queue

Change: WaitQueue dispatches the accounts of a rank by FairQueue and expects waits in that order; Core::admit() evicts from a full queue; the scheduler answers an evicted request as rejected, also when it is asked again; ScheduleRequest carries the account; Retry-After of an account's requests is spread over the drain of its backlog. Log lines wait_refused and wait_evicted, counters and gauges without account labels.

--- a/src/libgateway/core.cpp
+++ b/src/libgateway/core.cpp
@@ -58,6 +58,49 @@
   return m_chooser.choose(Query, m_endpoints, It->second, Now);
 }
 
+/// Tells that a request of a client account was refused on arrival.
+void Core::logRefusal(const ChoiceQuery &Query, Duration ExpectedWait,
+                      WaitRefusal Why) {
+  const std::string Reason(nameOf(WaitRefusalNames, Why));
+  m_metrics->count("wait_refused_" + Reason);
+  if (Query.m_account.empty())
+    return; // The line of the request itself tells all there is.
+  decisionlog::line(LogClass::Failure, "wait_refused")
+      .text("reason", Reason)
+      .text("account", Query.m_account)
+      .text("model", Query.m_model)
+      .number("rank", Query.m_rank)
+      .real("expected_wait_ms", toMillis(ExpectedWait))
+      .number("account_waiting",
+              static_cast<std::int64_t>(
+                  m_queue.backlogs().requests(Query.m_account)))
+      .number("waiting", static_cast<std::int64_t>(m_queue.size()));
+}
+
+/// Removes a request from the full queue, so that one of the account For can
+/// wait.
+void Core::evict(TicketId Victim, const std::string &For, TimePoint Now) {
+  const Ticket T = *m_queue.find(Victim);
+  const auto It = m_waiters.find(Victim);
+  Waiter *W = It == m_waiters.end() ? nullptr : It->second;
+  cancel(Victim);
+  const Duration Wait =
+      expectedWait(T.m_query, T.m_obstacle, T.m_onTimeUntil, Now);
+  m_metrics->count("wait_queue_evicted");
+  decisionlog::line(LogClass::Failure, "wait_evicted")
+      .text("account", T.m_query.m_account)
+      .text("for_account", For)
+      .text("model", T.m_query.m_model)
+      .number("rank", T.m_query.m_rank)
+      .real("waited_ms", toMillis(Now - T.m_since))
+      .real("expected_wait_ms", toMillis(Wait))
+      .number("account_waiting",
+              static_cast<std::int64_t>(
+                  m_queue.backlogs().requests(T.m_query.m_account)));
+  if (W)
+    W->onEvicted(Wait);
+}
+
 Admission Core::admit(ChoiceQuery Query, const WaitLimits &Limits, Waiter &W,
                       TimePoint Now) {
   Admission Out;
@@ -70,6 +113,7 @@
       PausedUntil = C.m_pausedUntil;
     }
     if (Out.m_obstacle == ChoiceObstacle::None) {
+      m_queue.onDispatchedAtOnce(Query, Now);
       W.onDispatched(C, Now);
       return Out;
     }
@@ -86,8 +130,15 @@
                                    : expectedWait(Query, Out.m_obstacle,
                                                   Limits.m_onTimeUntil, Now);
   if (Out.m_expectedWait > Limits.m_maxWait ||
-      Limits.m_maxWait <= Duration::zero())
+      Limits.m_maxWait <= Duration::zero()) {
+    logRefusal(Query, Out.m_expectedWait, WaitRefusal::TooLong);
     return Out;
+  }
+  const std::string Account = Query.m_account;
+  if (const auto Victim = m_queue.victimFor(Account))
+    evict(*Victim, Account, Now);
+  if (m_queue.size() >= MaxWaitQueueSize)
+    logRefusal(Query, Out.m_expectedWait, WaitRefusal::QueueFull);
   Out.m_ticket =
       m_queue.add(std::move(Query), Out.m_obstacle, Limits.m_onTimeUntil, Now);
   if (Out.m_ticket == 0) {
@@ -111,11 +162,9 @@
 }
 
 ChoiceObstacle Core::cancel(TicketId Ticket) {
-  ChoiceObstacle Obstacle = ChoiceObstacle::Full;
-  m_queue.visit([&](const struct Ticket &T) {
-    if (T.m_id == Ticket)
-      Obstacle = T.m_obstacle;
-  });
+  const struct Ticket *Waiting = m_queue.find(Ticket);
+  const ChoiceObstacle Obstacle =
+      Waiting ? Waiting->m_obstacle : ChoiceObstacle::Full;
   m_queue.remove(Ticket);
   m_waiters.erase(Ticket);
   return Obstacle;
--- a/src/libgateway/core.h
+++ b/src/libgateway/core.h
@@ -37,6 +37,9 @@
   virtual void onDispatched(const Choice &Where, TimePoint Now) = 0;
   /// The request must be rejected immediately because this VM is stopping.
   virtual void onRejected() = 0;
+  /// The request has left the full queue for one of another client account. It
+  /// must be rejected as not run; ExpectedWait is as in Admission.
+  virtual void onEvicted(Duration /*ExpectedWait*/) { onRejected(); }
 };
 
 /// What became of an endpoint that closed the connection of an attempt.
@@ -186,6 +189,9 @@
   void strikeParts(const FoundEnd &End, const BrokenRequest &Request,
                    std::uint64_t Crash, TimePoint Now);
   void onMemoryCut(const MemoryCut &Cut);
+  void evict(TicketId Victim, const std::string &For, TimePoint Now);
+  void logRefusal(const ChoiceQuery &Query, Duration ExpectedWait,
+                  WaitRefusal Why);
 
   std::map<std::string, RetryWindow> m_retries; ///< By service.
 };
--- a/src/libgateway/exchangeresponse.cpp
+++ b/src/libgateway/exchangeresponse.cpp
@@ -117,6 +117,8 @@
   if (m_route)
     R.m_onTimeLeft = m_arrivedAt + Duration(m_route->m_latencyTarget) - Now;
   R.m_expectedWait = m_expectedWait;
+  R.m_ofAccount = !m_query.m_account.empty() &&
+                  m_attempt.m_choice.m_obstacle == ChoiceObstacle::Full;
   R.m_localCause = m_core.m_rejectingWaiting || m_core.m_stopping;
   R.m_random = std::uniform_real_distribution<double>(0, 1)(m_core.m_random);
   return retryAfter(R);
--- a/src/libgateway/gateway.cpp
+++ b/src/libgateway/gateway.cpp
@@ -334,6 +334,11 @@
     exportMemory();
     m_core.m_metrics->gauge("waiting",
                             static_cast<double>(m_core.m_queue.size()));
+    const fairness::AccountBacklogs &Backlogs = m_core.m_queue.backlogs();
+    m_core.m_metrics->gauge("waiting_accounts",
+                            static_cast<double>(Backlogs.accounts()));
+    m_core.m_metrics->gauge("waiting_largest_account",
+                            static_cast<double>(Backlogs.largest()));
     m_core.m_metrics->gauge("remote_requests",
                             static_cast<double>(m_scheduler.size()));
     m_core.m_metrics->gauge("caller_connections",
--- a/src/libgateway/retryafter.h
+++ b/src/libgateway/retryafter.h
@@ -6,6 +6,11 @@
 // and give up; callers that retry at the same time cause the next overload. So
 // a caller is told to retry soon only if another VM can still respond in time,
 // and otherwise late in its remaining time, with jitter.
+//
+// The callers of one client account that floods are refused together, since its
+// share of the capacity is used up. Its share lets in further requests one by
+// one, so their retries are spread over the time until its backlog has drained,
+// not around the end of that time.
 #ifndef PRIMROSEWORKS_LIBGATEWAY_RETRYAFTER_H
 #define PRIMROSEWORKS_LIBGATEWAY_RETRYAFTER_H
 
@@ -20,7 +25,9 @@
   Duration m_onTimeLeft{};   ///< Until the response can no longer be on time.
   Duration m_expectedWait{}; ///< Expected wait; zero if unknown.
   bool m_localCause = false; ///< The cause is the state of this VM alone.
-  double m_random = 0;       ///< Random number in [0, 1).
+  /// The request has a client account, and m_expectedWait is that of its share.
+  bool m_ofAccount = false;
+  double m_random = 0; ///< Random number in [0, 1).
 };
 
 /// Minimum Retry-After, so that a retry does not find the same state.
@@ -34,6 +41,10 @@
 /// it.
 inline constexpr double ExpectedWaitJitter = 0.3;
 
+/// For an account, retries are spread over at least this share of the time
+/// until its backlog has drained, ending then.
+inline constexpr double AccountRetrySpread = 0.6;
+
 /// Returns the time after which the caller should retry.
 Duration retryAfter(const Rejection &R);
 
--- a/src/libgateway/retryafter_test.cpp
+++ b/src/libgateway/retryafter_test.cpp
@@ -41,6 +41,28 @@
   EXPECT_LE(retryAfter(R), 2 * Duration(MinRetryAfter));
 }
 
+// Load pattern: 100 callers of an account that floods are refused at the same
+// moment. Guards against retries that meet again, also where the wait exceeds
+// the longest Retry-After, which would otherwise be the answer to all of them.
+TEST(RetryAfter, RetriesOfAnAccountAreSpreadOverTheDrainOfItsBacklog) {
+  for (const int WaitSeconds : {2, 9}) {
+    constexpr int Callers = 100;
+    Rejection R;
+    R.m_timeLeft = Seconds(12);
+    R.m_ofAccount = true;
+    R.m_expectedWait = Seconds(WaitSeconds);
+    Duration Last = Duration::zero();
+    for (int I = 0; I < Callers; ++I) {
+      R.m_random = static_cast<double>(I) / Callers;
+      const Duration After = retryAfter(R);
+      EXPECT_GE(After, Duration(MinRetryAfter));
+      EXPECT_LE(After, std::min<Duration>(R.m_expectedWait, Seconds(4)));
+      EXPECT_GT(After - Last, Milliseconds(10));
+      Last = After;
+    }
+  }
+}
+
 TEST(RetryAfter, FollowsAKnownWaitWithinItsLimits) {
   Rejection R;
   R.m_timeLeft = Seconds(12);
--- a/src/libgateway/scheduler.cpp
+++ b/src/libgateway/scheduler.cpp
@@ -29,8 +29,7 @@
     m_choice.m_obstacle = A.m_obstacle;
     m_queueTicket = A.m_ticket;
     if (A.m_rejected) {
-      m_rejected = true;
-      reply(ScheduleStatus::Rejected, A.m_expectedWait);
+      reject(ScheduleStatus::Rejected, A.m_expectedWait);
       return;
     }
     if (!m_message.m_query.m_adapter.empty() && C.m_onAdapterWanted)
@@ -49,10 +48,21 @@
   void onRejected() override {
     if (m_queueTicket != 0)
       m_owner.m_core.cancel(m_queueTicket);
+    // The gateway can still ask another coordinator.
+    reject(ScheduleStatus::Unavailable);
+  }
+  void onEvicted(Duration ExpectedWait) override {
+    // Another coordinator would let the account exceed its share there.
+    m_choice.m_obstacle = ChoiceObstacle::Full;
+    reject(ScheduleStatus::Rejected, ExpectedWait);
+  }
+  /// Answers the request, which is no longer queued.
+  void reject(ScheduleStatus Status, Duration ExpectedWait = {}) {
     m_queueTicket = 0;
     m_rejected = true;
-    // The gateway can still ask another coordinator.
-    reply(ScheduleStatus::Unavailable);
+    m_rejection = Status;
+    m_expectedWait = ExpectedWait;
+    reply(Status, ExpectedWait);
   }
   void reply(ScheduleStatus Status, Duration ExpectedWait = {}) const {
     ScheduleReply R;
@@ -66,7 +76,10 @@
   }
   /// Answers a repetition of the request.
   void replyAgain() const {
-    reply(granted() ? ScheduleStatus::Granted : ScheduleStatus::Waiting);
+    if (m_rejected)
+      reply(m_rejection, m_expectedWait);
+    else
+      reply(granted() ? ScheduleStatus::Granted : ScheduleStatus::Waiting);
   }
   /// Frees what the request uses.
   void release(TimePoint Now) {
@@ -93,6 +106,9 @@
   Choice m_choice;
   bool m_prefillDone = false;
   bool m_rejected = false;
+  /// The answer to a rejected request, which may be lost.
+  ScheduleStatus m_rejection = ScheduleStatus::Unavailable;
+  Duration m_expectedWait{};
 };
 
 Scheduler::Scheduler(Core &Shared, SendReply Reply)
--- a/src/libgateway/scheduler_test.cpp
+++ b/src/libgateway/scheduler_test.cpp
@@ -117,12 +117,15 @@
   }
 
   TicketId ask(unsigned Gateway, Caller &From, unsigned Rank = 0,
-               const std::string &Model = "m1", Duration MaxWait = Seconds(5)) {
+               const std::string &Model = "m1", Duration MaxWait = Seconds(5),
+               const std::string &Account = "") {
     ChoiceQuery Q;
     Q.m_service = "llm";
     Q.m_model = Model;
     Q.m_rank = Rank;
     Q.m_size = {100, 10};
+    Q.m_account = Account;
+    Q.m_mayRevisit = true;
     const TicketId Ticket = node(Gateway).m_client->request(
         Q, {m_now + Seconds(1), MaxWait}, From, m_now);
     deliver();
@@ -414,6 +417,67 @@
             MaxFailureShare);
 }
 
+/// A request of a coordinator's own caller.
+struct LocalCaller : Waiter {
+  void onDispatched(const Choice &, TimePoint) override {}
+  void onRejected() override {}
+};
+
+// Load pattern: an account fills the queue of a coordinator through one
+// gateway. Guards against the refusal of another account's request, and against
+// an evicted request whose gateway waits on because the answer was lost.
+TEST(Scheduler, FullQueueEvictsTheLargestAccount) {
+  Fleet F(20);
+  std::vector<Caller> Running(Slots);
+  for (unsigned I = 0; I < Slots; ++I)
+    F.ask(I + 2, Running[I]);
+  const std::string Name = Running[0].m_ticket.m_coordinator;
+  Core &Coordinator = *F.node(Name == "vm-0" ? 0 : 1).m_core;
+  std::vector<Caller> Flood(MaxWaitQueueSize + 1);
+  for (Caller &C : Flood)
+    F.ask(2, C, 0, "m1", Seconds(5), "flood");
+  EXPECT_TRUE(Flood.back().m_rejected) << "the newest of its own account";
+  EXPECT_EQ(Coordinator.m_queue.size(), MaxWaitQueueSize);
+  Caller Small;
+  F.ask(3, Small, 0, "m1", Seconds(5), "small");
+  EXPECT_FALSE(Small.m_rejected);
+  EXPECT_TRUE(Flood[MaxWaitQueueSize - 1].m_rejected);
+  EXPECT_EQ(Coordinator.m_queue.backlogs().requests("flood"),
+            MaxWaitQueueSize - 1);
+  F.m_loseEvery = 1;
+  LocalCaller Local;
+  ChoiceQuery Q;
+  Q.m_service = "llm";
+  Q.m_model = "m1";
+  Q.m_account = "local";
+  Coordinator.admit(Q, {F.m_now + Seconds(1), Seconds(5)}, Local, F.m_now);
+  F.deliver();
+  Caller &Evicted = Flood[MaxWaitQueueSize - 2];
+  EXPECT_FALSE(Evicted.m_rejected) << "the answer was lost";
+  F.m_loseEvery = 0;
+  F.advance(Milliseconds(300));
+  EXPECT_TRUE(Evicted.m_rejected);
+}
+
+// Guards against a flood through one gateway that delays other accounts'
+// requests at other gateways.
+TEST(Scheduler, SharesHoldAcrossGateways) {
+  Fleet F(20);
+  std::vector<Caller> Running(Slots);
+  for (unsigned I = 0; I < Slots; ++I)
+    F.ask(I + 2, Running[I]);
+  std::vector<Caller> Flood(20);
+  for (Caller &C : Flood)
+    F.ask(2, C, 0, "m1", Seconds(5), "flood");
+  Caller Small;
+  F.ask(3, Small, 0, "m1", Seconds(5), "small");
+  F.advance(Milliseconds(20));
+  F.finish(2, Running[0]);
+  F.finish(3, Running[1]);
+  EXPECT_TRUE(Flood[0].m_granted);
+  EXPECT_TRUE(Small.m_granted);
+}
+
 // Guards against requests that still wait when their VM stops.
 TEST(Scheduler, RequestsOfAStoppingGatewayEndAtOnce) {
   Fleet F(20);
--- a/src/libgateway/schedulingmessage.cpp
+++ b/src/libgateway/schedulingmessage.cpp
@@ -57,12 +57,15 @@
 
 Json encode(const ScheduleRequest &R) {
   const ChoiceQuery &Q = R.m_query;
-  return Json::array({encodeEnum(MessageKind::Request), R.m_sender.m_name,
-                      R.m_sender.m_start, R.m_ticket, R.m_domain, Q.m_service,
-                      Q.m_model, Q.m_adapter, Q.m_size.m_kvTokens,
-                      Q.m_size.m_promptTokens, Q.m_rank, Q.m_affinity,
-                      Q.m_excluded, Q.m_mayRevisit, Q.m_mayProbe,
-                      R.m_onTime.count(), R.m_maxWait.count()});
+  Json Out = Json::array(
+      {encodeEnum(MessageKind::Request), R.m_sender.m_name, R.m_sender.m_start,
+       R.m_ticket, R.m_domain, Q.m_service, Q.m_model, Q.m_adapter,
+       Q.m_size.m_kvTokens, Q.m_size.m_promptTokens, Q.m_rank, Q.m_affinity,
+       Q.m_excluded, Q.m_mayRevisit, Q.m_mayProbe, R.m_onTime.count(),
+       R.m_maxWait.count()});
+  if (!Q.m_account.empty())
+    Out.push_back(Q.m_account);
+  return Out;
 }
 
 ScheduleRequest decodeRequest(const Json &In) {
@@ -83,6 +86,8 @@
   In.at(14).get_to(Q.m_mayProbe);
   R.m_onTime = decodeTime(In.at(15));
   R.m_maxWait = decodeTime(In.at(16));
+  if (In.size() > 17) // Else without an account, or from an older gateway.
+    In.at(17).get_to(Q.m_account);
   return R;
 }
 
--- a/src/libgateway/schedulingmessage_test.cpp
+++ b/src/libgateway/schedulingmessage_test.cpp
@@ -28,6 +28,7 @@
   R.m_query.m_service = "llm";
   R.m_query.m_model = "m1";
   R.m_query.m_adapter = "a3";
+  R.m_query.m_account = "acme";
   R.m_query.m_size = {1631, 1460};
   R.m_query.m_rank = 2;
   R.m_query.m_affinity = 0xfeedfacecafebeefULL;
@@ -44,6 +45,7 @@
   EXPECT_EQ(D.m_query.m_service, "llm");
   EXPECT_EQ(D.m_query.m_model, "m1");
   EXPECT_EQ(D.m_query.m_adapter, "a3");
+  EXPECT_EQ(D.m_query.m_account, "acme");
   EXPECT_EQ(D.m_query.m_size.m_kvTokens, 1631U);
   EXPECT_EQ(D.m_query.m_size.m_promptTokens, 1460U);
   EXPECT_EQ(D.m_query.m_rank, 2U);
@@ -55,6 +57,17 @@
   EXPECT_EQ(D.m_maxWait, Milliseconds(3500));
 }
 
+// Guards against a request that is lost while gateways of two versions run: one
+// without an account is encoded as by a version without accounts.
+TEST(SchedulingMessage, RequestWithoutAccountHasTheFormOfOlderGateways) {
+  ScheduleRequest R;
+  const std::string Plain = encodeSchedulingMessage(R);
+  EXPECT_EQ(static_cast<unsigned char>(Plain[0]), 0x91U) << "array of 17";
+  EXPECT_TRUE(roundTrip(R).m_query.m_account.empty());
+  R.m_query.m_account = "acme";
+  EXPECT_EQ(encodeSchedulingMessage(R).size(), Plain.size() + 5);
+}
+
 TEST(SchedulingMessage, ReplyKeepsItsFields) {
   ScheduleReply R;
   R.m_ticket = 5;
--- a/src/libgateway/waitqueue_test.cpp
+++ b/src/libgateway/waitqueue_test.cpp
@@ -68,6 +68,29 @@
             (std::vector<TicketId>{OnTime, Late, Low}));
 }
 
+// Guards against shares of accounts that outweigh ranks, or requests that can
+// still be on time; within each, no account waits behind all of another one.
+TEST(WaitQueue, AccountsShareWithinARankOnly) {
+  WaitQueue Queue;
+  const auto Add = [&](unsigned Rank, const char *Account, int OnTimeMs) {
+    ChoiceQuery Q = query(Rank);
+    Q.m_account = Account;
+    Q.m_size = {1630, 1460};
+    return Queue.add(Q, ChoiceObstacle::Full, Start + Milliseconds(OnTimeMs),
+                     Start);
+  };
+  std::vector<TicketId> Ids;
+  for (const int OnTimeMs : {10, 900})
+    for (const unsigned Rank : {1U, 0U})
+      for (const char *Account : {"f", "f", "s"})
+        Ids.push_back(Add(Rank, Account, OnTimeMs));
+  EXPECT_EQ(dispatch(Queue, 12, Start + Milliseconds(20)),
+            (std::vector<TicketId>{Ids[9], Ids[11], Ids[10],  // On time, 0.
+                                   Ids[6], Ids[8], Ids[7],    // On time, 1.
+                                   Ids[3], Ids[5], Ids[4],    // Late, 0.
+                                   Ids[0], Ids[2], Ids[1]})); // Late, 1.
+}
+
 // Load pattern: twice as many requests as slots, for five seconds. In FIFO
 // order nearly all responses are late once the wait exceeds the latency target.
 // At least two fifths of the slots must go to requests that are on time.
