--- a/src/libfairness/fairqueue.cpp
+++ b/src/libfairness/fairqueue.cpp
@@ -17,15 +17,24 @@
   if (Own == A.m_lanes.end())
     return;
   const auto It = m_lanes.find(Lane);
-  It->second.erase({A.m_start, *Own->second.begin()});
-  if (It->second.empty())
+  std::set<Head> &Heads = It->second;
+  m_order.erase(*Heads.begin());
+  Heads.erase({A.m_start, *Own->second.begin()});
+  if (Heads.empty())
     m_lanes.erase(It);
+  else
+    m_order.emplace(*Heads.begin(), Lane);
 }
 
 void FairQueue::linkLane(const Account &A, const std::string &Lane) {
   const auto Own = A.m_lanes.find(Lane);
-  if (Own != A.m_lanes.end())
-    m_lanes[Lane].insert({A.m_start, *Own->second.begin()});
+  if (Own == A.m_lanes.end())
+    return;
+  std::set<Head> &Heads = m_lanes[Lane];
+  if (!Heads.empty())
+    m_order.erase(*Heads.begin());
+  Heads.insert({A.m_start, *Own->second.begin()});
+  m_order.emplace(*Heads.begin(), Lane);
 }
 
 void FairQueue::unlinkPool(const Account &A, const std::string &Name) {
@@ -157,12 +166,14 @@
 }
 
 std::optional<EntryId>
-FairQueue::next(const std::set<std::string> &BlockedLanes) const {
-  std::optional<Head> First;
-  for (const auto &[Lane, Heads] : m_lanes)
-    if ((!First || *Heads.begin() < *First) && !BlockedLanes.count(Lane))
-      First = *Heads.begin();
-  return First ? std::optional(First->second) : std::nullopt;
+FairQueue::next(Cursor &From, const std::set<std::string> &BlockedLanes) const {
+  auto It = From.m_after ? m_order.upper_bound(*From.m_after) : m_order.begin();
+  for (; It != m_order.end(); ++It) {
+    if (!BlockedLanes.count(It->second))
+      return It->first.second;
+    From.m_after = It->first;
+  }
+  return std::nullopt;
 }
 
 double FairQueue::ahead(const std::string &PoolName,
--- a/src/libfairness/fairqueue.h
+++ b/src/libfairness/fairqueue.h
@@ -57,8 +57,15 @@
   void add(FairEntry Entry);
   /// Removes an entry that was not dispatched, if it is here.
   void remove(EntryId Id);
-  /// First entry in the fair order that is in no blocked lane.
-  std::optional<EntryId> next(const std::set<std::string> &BlockedLanes) const;
+  /// Place in the fair order, which a sweep over the queue passes only once.
+  struct Cursor {
+    std::optional<std::pair<double, EntryId>> m_after; ///< Empty: the start.
+  };
+  /// First entry in the fair order that is in no blocked lane. From must not
+  /// be used after add() or remove(); between two calls with it, entries may be
+  /// dispatched and further lanes become blocked.
+  std::optional<EntryId> next(Cursor &From,
+                              const std::set<std::string> &BlockedLanes) const;
   /// Removes an entry that was dispatched. Contended tells whether it had to
   /// wait; otherwise its account is not charged: others lost nothing by it.
   void onDispatched(EntryId Id, bool Contended);
@@ -113,7 +120,8 @@
   std::map<EntryId, FairEntry> m_entries;
   Accounts m_accounts;
   std::map<std::string, std::set<Head>> m_lanes; ///< No empty ones.
-  std::map<std::string, Pool> m_pools;           ///< No empty ones.
+  std::map<Head, std::string> m_order; ///< Lanes by their first heads.
+  std::map<std::string, Pool> m_pools; ///< No empty ones.
   /// Accounts without entries, by start tag.
   std::set<std::pair<double, std::string>> m_idle;
   /// Largest start tag that was charged. Zero if the queue is empty.
--- a/src/libfairness/fairqueue_test.cpp
+++ b/src/libfairness/fairqueue_test.cpp
@@ -23,7 +23,8 @@
   }
   /// Dispatches one request; returns its account.
   std::string dispatch(const std::set<std::string> &Blocked = {}) {
-    const std::optional<EntryId> Id = next(Blocked);
+    Cursor Begin;
+    const std::optional<EntryId> Id = next(Begin, Blocked);
     if (!Id)
       return "-";
     onDispatched(*Id, true);
@@ -84,7 +85,8 @@
   std::mt19937_64 Random(2);
   Queue Q;
   const auto Add = [&](char Account) {
-    const double Cost = Account % 4 == 0 ? 30000 : 200 + Random() % 1600;
+    const double Cost =
+        Account % 4 == 0 ? 30000 : 200.0 + static_cast<double>(Random() % 1600);
     Q.add(std::string(1, Account), Cost);
   };
   for (unsigned I = 0; I < 40; ++I)
--- a/src/libgateway/waitqueue.cpp
+++ b/src/libgateway/waitqueue.cpp
@@ -145,11 +145,11 @@
 
 /// The next request of a class. The services of a class take turns by age.
 std::optional<TicketId>
-WaitQueue::nextIn(const ClassQueue &Class,
-                  const std::set<std::string> &BlockedLanes) const {
+WaitQueue::nextIn(const ClassQueue &Class, Cursors &From,
+                  const std::set<std::string> &BlockedLanes) {
   std::optional<TicketId> First;
   for (const auto &[Service, Queue] : Class) {
-    const std::optional<TicketId> Id = Queue.next(BlockedLanes);
+    const std::optional<TicketId> Id = Queue.next(From[Service], BlockedLanes);
     if (Id && (!First || *Id < *First))
       First = Id;
   }
@@ -184,10 +184,13 @@
   demoteLate(Now);
   std::vector<Grant> Granted;
   std::set<std::string> BlockedLanes;
+  Cursors From;
   for (auto Class = m_classes.begin(); Class != m_classes.end();) {
-    const std::optional<TicketId> Id = nextIn(Class->second, BlockedLanes);
+    const std::optional<TicketId> Id =
+        nextIn(Class->second, From, BlockedLanes);
     if (!Id) {
       ++Class;
+      From.clear();
       continue;
     }
     Entry &E = m_waiting.at(*Id);
@@ -199,7 +202,9 @@
     }
     const ClassKey Key = Class->first;
     takeDispatched(*Id, Now);
-    Class = m_classes.lower_bound(Key); // The class may have ended.
+    Class = m_classes.lower_bound(Key);
+    if (Class == m_classes.end() || Key < Class->first)
+      From.clear(); // This was the last request of its class.
     Grant G{*Id, std::move(C)};
     OnGrant(G);
     Granted.push_back(std::move(G));
--- a/src/libgateway/waitqueue.h
+++ b/src/libgateway/waitqueue.h
@@ -153,9 +153,11 @@
   void enterModel(const Entry &E, TimePoint Now);
   /// Removes a ticket that is not dispatched, or is already counted as such.
   Entry take(TicketId Id, const std::optional<bool> &Contended);
-  std::optional<TicketId>
-  nextIn(const ClassQueue &Class,
-         const std::set<std::string> &BlockedLanes) const;
+  /// Where a sweep over a class is, by service.
+  using Cursors = std::map<std::string, fairness::FairQueue::Cursor>;
+  static std::optional<TicketId>
+  nextIn(const ClassQueue &Class, Cursors &From,
+         const std::set<std::string> &BlockedLanes);
   Ticket takeDispatched(TicketId Id, TimePoint Now);
   /// Requests for a model that are ahead of a new one: all of the classes
   /// before Before, and those before it in its own class.
