libbase: BootClock in a header of its own

Quotas measure credits and promises on the boot-time clock, and their library must not depend on libgateway. The clock moves there unchanged.

--- a/src/libgateway/leadership.cpp
+++ b/src/libgateway/leadership.cpp
@@ -2,17 +2,9 @@
 #include "libgateway/leadership.h"
 
 #include <algorithm>
-#include <ctime>
 
 namespace primroseworks::gateway {
 
-BootTime BootClock::now() {
-  timespec T{};
-  clock_gettime(CLOCK_BOOTTIME, &T);
-  return BootTime(std::chrono::seconds(T.tv_sec) +
-                  std::chrono::nanoseconds(T.tv_nsec));
-}
-
 void LeaderClaim::onLeaseRenewed(std::uint64_t Lease, BootTime SentAt) {
   if (Lease != m_lease) {
     m_token.reset();
--- a/src/libgateway/leadership.h
+++ b/src/libgateway/leadership.h
@@ -3,24 +3,13 @@
 #ifndef PRIMROSEWORKS_LIBGATEWAY_LEADERSHIP_H
 #define PRIMROSEWORKS_LIBGATEWAY_LEADERSHIP_H
 
-#include "primroseworks/time.h"
+#include "libbase/bootclock.h"
 
 #include <cstdint>
 #include <optional>
 
 namespace primroseworks::gateway {
 
-/// Clock that also advances while the VM is suspended, unlike the steady clock.
-/// The validity of leases is measured with it.
-struct BootClock {
-  using duration = std::chrono::nanoseconds;
-  using rep = duration::rep;
-  using period = duration::period;
-  using time_point = std::chrono::time_point<BootClock>;
-  static time_point now();
-};
-using BootTime = BootClock::time_point;
-
 /// The lease of this process and its claim on the leader key under that lease.
 class LeaderClaim {
 public:
