libquota: quotas of accounts over all VMs

An account's limit holds for all VMs together, also while some of them are partitioned, frozen or replaced. Agents charge requests against short-lived credits of the owner of the buckets, or against a base share that they do not use while the owner counts on it.

--- a/src/libgateway/core.h
+++ b/src/libgateway/core.h
@@ -78,6 +78,7 @@
 }
 
 class SchedulerClient;
+class QuotaClient;
 
 class Core {
 public:
@@ -168,6 +169,8 @@
   unsigned m_chooserCount = 1;
   /// Asks coordinators for endpoints; null if there are no other gateways.
   SchedulerClient *m_schedulerClient = nullptr;
+  /// Charges the quotas of accounts; null if there are no other gateways.
+  QuotaClient *m_quotas = nullptr;
   bool m_stopping = false; ///< Callers are directed to other VMs.
   /// While it stops: when requests that are still in progress are ended.
   TimePoint m_requestsEndAt = TimePoint::max();
--- a/src/libgateway/exchange.cpp
+++ b/src/libgateway/exchange.cpp
@@ -143,6 +143,7 @@
   m_core.m_refusalListeners.erase(this);
   const TimePoint Now = clockNow();
   endSilentAttempts(SilenceEnd::RequestEnded, Now);
+  settleQuota();
   if (m_callerGone && m_outcome.empty()) {
     m_outcome = "caller_gone";
     m_reason = "caller_closed_its_connection";
@@ -231,6 +232,8 @@
   if (!m_route)
     co_return co_await sendLocalResponse(404, "no_route", Duration::zero());
   initFromRequest(Start);
+  if (!co_await chargeQuota())
+    co_return !m_callerGone;
   bool MaySend = true;
   for (;;) {
     const TimePoint Begin = clockNow();
--- a/src/libgateway/exchange.h
+++ b/src/libgateway/exchange.h
@@ -5,6 +5,7 @@
 #include "libgateway/attempt.h"
 #include "libgateway/core.h"
 #include "libgateway/failoverprobe.h"
+#include "libgateway/quotaclient.h"
 
 #include <asio/awaitable.hpp>
 #include <memory>
@@ -48,6 +49,8 @@
   asio::awaitable<bool> endAfterException();
   void withdrawWait();
   asio::awaitable<bool> rejectUnconfigured(TimePoint Now);
+  asio::awaitable<bool> chargeQuota();
+  void settleQuota();
   asio::awaitable<bool> finishAfterAttempt(AttemptOutcome Outcome);
   asio::awaitable<bool> acquireEndpoint();
   bool isRefusedSuspect(TimePoint Now);
@@ -140,6 +143,7 @@
   const Route *m_route = nullptr;   ///< Points into m_configuration.
   RequestMetadata m_requestMetadata;
   ChoiceQuery m_query;
+  std::optional<QuotaCharged> m_quota; ///< Until its outcome is reported.
   std::uint64_t m_fingerprint = 0; ///< Equal for a retry of the same request.
   /// Parts of its prompt that other requests may share, each once.
   std::vector<std::uint64_t> m_promptParts;
--- a/src/libgateway/gateway.cpp
+++ b/src/libgateway/gateway.cpp
@@ -60,7 +60,7 @@
           [this](const std::string &Name, const SchedulingMessage &Message) {
             m_peers.sendMessage(Name, Message);
           }),
-      m_relayTimer(Io),
+      m_quotas(m_core, m_peers.audience(), quotaLinks()), m_relayTimer(Io),
       m_leaderClaim(m_core.m_settings.m_lease, LeaderLeaseMargin),
       m_placementLeader(m_core, m_leaderClaim, m_core.m_settings.m_vm,
                         [this](const std::string &Id) {
@@ -73,6 +73,10 @@
         m_peers.announceHoldings(fencingToken(), clockNow());
       }) {
   m_core.m_schedulerClient = &m_schedulerClient;
+  m_core.m_quotas = &m_quotas;
+  m_peers.setOnQuotaMessage([this](const QuotaMessage &Message) {
+    m_quotas.onMessage(Message, BootClock::now());
+  });
   m_storePool.limitMemory(m_core.m_memory);
   m_peers.setOnMessage(
       [this](const SchedulingMessage &Message) { onMessage(Message); });
@@ -83,6 +87,16 @@
   });
 }
 
+QuotaLinks Gateway::quotaLinks() {
+  QuotaLinks Out;
+  Out.m_send = [this](const std::string &Name, const QuotaMessage &Message) {
+    m_peers.sendQuotaMessage(Name, Message);
+  };
+  Out.m_leader = [this] { return m_peers.leader(); };
+  Out.m_fencingToken = [this] { return fencingToken(); };
+  return Out;
+}
+
 Result<void> Gateway::start() {
   decisionlog::setVm(m_core.m_settings.m_vm);
   decisionlog::line(LogClass::Lifecycle, "start")
@@ -91,6 +105,7 @@
       .text("store", m_core.m_settings.m_store);
   BOOST_OUTCOME_TRYV(m_peers.open());
   m_schedulerClient.setStart(m_peers.start());
+  m_quotas.setStart(m_peers.start(), BootClock::now());
   BOOST_OUTCOME_TRYV(openStatusListener(m_core.m_settings.m_ready, false));
   if (!m_core.m_settings.m_metrics.empty()) {
     BOOST_OUTCOME_TRYV(openStatusListener(m_core.m_settings.m_metrics, true));
@@ -102,6 +117,7 @@
   startLoop("lease", [this] { return maintainLease(); });
   startLoop("maintenance", [this] { return runMaintenance(); });
   startLoop("reports", [this] { return sendReports(); });
+  startLoop("quotas", [this] { return m_quotas.run(); });
   startLoop("signals", [this] { return awaitSignals(); });
   return boost::outcome_v2::success();
 }
@@ -179,6 +195,7 @@
         .number("revision", static_cast<std::int64_t>(Revision));
   m_leaderName = Leader;
   m_peers.setMembers(Members);
+  m_quotas.service().onMembers(BootClock::now());
   m_peers.setLeader(Leader, HasLeader ? Key->second.m_revision : Revision);
   if (Leader != m_core.m_settings.m_vm && m_leaderClaim.onForeignKey(Revision))
     m_placementLeader.onClaimLost();
@@ -339,6 +356,7 @@
     m_core.m_metrics->gauge("caller_connections",
                             static_cast<double>(m_callerListener.size()));
     m_core.m_metrics->gauge("leads", isLeader() ? 1 : 0);
+    m_quotas.service().exportState();
     checkCopyAge(Now);
     m_core.m_metrics->gauge("loop_lag_seconds", toSeconds(clockNow() - Now));
     m_core.m_metrics->gauge("log_lines_left_out",
--- a/src/libgateway/gateway.h
+++ b/src/libgateway/gateway.h
@@ -8,6 +8,7 @@
 #include "libgateway/core.h"
 #include "libgateway/peers.h"
 #include "libgateway/placementleader.h"
+#include "libgateway/quotaclient.h"
 #include "libgateway/scheduler.h"
 #include "libgateway/schedulerclient.h"
 #include "libgateway/store.h"
@@ -71,6 +72,7 @@
   /// Runs the event loop until the process stops. An exception of a handler is
   /// logged and counted, and ends nothing else.
   void run();
+  QuotaClient &quotas() { return m_quotas; }
 
 private:
   asio::awaitable<void> watchStore();
@@ -103,6 +105,7 @@
   void applyChanges(const std::vector<StoreChange> &Changes,
                     std::uint64_t Revision);
   void onMessage(const SchedulingMessage &Message);
+  QuotaLinks quotaLinks();
   void onRelay(const StoreRelay &Relay);
   Duration ownReportInterval() const;
   void onStoreResult(bool Success, const char *Operation);
@@ -138,6 +141,7 @@
   Peers m_peers;
   Scheduler m_scheduler;
   SchedulerClient m_schedulerClient;
+  QuotaClient m_quotas;
   StoreFollower m_storeFollower;
   asio::steady_timer m_relayTimer; ///< Cancelled when relays have a gap.
   TimePoint m_fleetLoadsSentAt{};
--- a/src/libgateway/gatewaystore.cpp
+++ b/src/libgateway/gatewaystore.cpp
@@ -41,6 +41,7 @@
         .real("confirmed_ms_ago", confirmedMsAgo(Now));
   m_copyStale = false;
   m_core.m_copyConfirmedAt = Now;
+  m_quotas.service().onListConfirmed(BootClock::now());
 }
 
 /// Reports a copy of the store that is older than a change may be, although
--- a/src/libgateway/peers.cpp
+++ b/src/libgateway/peers.cpp
@@ -184,6 +184,12 @@
     sendBytes(encodeSchedulingMessage(Message), *M);
 }
 
+void Peers::sendQuotaMessage(const std::string &Name,
+                             const QuotaMessage &Message) {
+  if (const Member *M = m_audience.find(Name))
+    sendBytes(encodeQuotaMessage(Message), *M);
+}
+
 void Peers::relay(const StoreRelay &Message) {
   const std::vector<const Member *> To = m_audience.dependents();
   if (To.empty())
@@ -360,7 +366,9 @@
       continue;
     }
     const std::string Bytes = Buffer.substr(0, N);
-    if (isSchedulingMessage(Bytes))
+    if (isQuotaMessage(Bytes))
+      onQuotaBytes(Bytes, From.address().to_string());
+    else if (isSchedulingMessage(Bytes))
       onMessageBytes(Bytes, From.address().to_string());
     else
       onReportBytes(Bytes, From.address().to_string());
@@ -379,6 +387,19 @@
   apply(Report.value(), std::chrono::steady_clock::now());
 }
 
+void Peers::onQuotaBytes(const std::string &Bytes, const std::string &From) {
+  const Result<QuotaMessage> Message = decodeQuotaMessage(Bytes);
+  if (!Message) {
+    m_core.m_metrics->count("quota_message_unreadable");
+    decisionlog::line(LogClass::KnownState, "quota_message_unreadable")
+        .text("from", From)
+        .text("error", Message.error().m_message);
+    return;
+  }
+  if (m_onQuotaMessage)
+    m_onQuotaMessage(Message.value());
+}
+
 void Peers::onMessageBytes(const std::string &Bytes, const std::string &From) {
   Result<SchedulingMessage> Message = decodeSchedulingMessage(Bytes);
   if (!Message) {
--- a/src/libgateway/peers.h
+++ b/src/libgateway/peers.h
@@ -7,6 +7,7 @@
 #include "libgateway/core.h"
 #include "libgateway/peeraudience.h"
 #include "libgateway/peerreport.h"
+#include "libgateway/quotamessage.h"
 #include "libgateway/schedulingmessage.h"
 #include "libgateway/suspectexchange.h"
 
@@ -60,6 +61,13 @@
   void sendStrikes(TimePoint Now);
   /// Sends a message to a gateway; does nothing if it is unknown.
   void sendMessage(const std::string &Name, const SchedulingMessage &Message);
+  void sendQuotaMessage(const std::string &Name, const QuotaMessage &Message);
+  /// Sets the receiver of quota messages.
+  void setOnQuotaMessage(std::function<void(const QuotaMessage &)> OnMessage) {
+    m_onQuotaMessage = std::move(OnMessage);
+  }
+  /// Name of the leader that was named last; empty if there is none.
+  const std::string &leader() const { return m_leader; }
   /// Sends store changes to the gateways that depend on this coordinator.
   void relay(const StoreRelay &Message);
   const PeerAudience &audience() const { return m_audience; }
@@ -92,6 +100,7 @@
   void applyFleetLoads(const PeerReport &Report, TimePoint Now);
   void onReportBytes(const std::string &Bytes, const std::string &From);
   void onMessageBytes(const std::string &Bytes, const std::string &From);
+  void onQuotaBytes(const std::string &Bytes, const std::string &From);
   PeerReport emptyReport(std::uint64_t LeaderToken);
   PeerHolding holding(const Endpoint &E) const;
   void repeatSuspects(TimePoint Now);
@@ -126,6 +135,7 @@
   std::function<void()> m_onPeerAdapterWanted;
   SuspectExchange m_suspects;
   std::function<void(SchedulingMessage)> m_onMessage;
+  std::function<void(const QuotaMessage &)> m_onQuotaMessage;
 };
 
 } // namespace primroseworks::gateway
--- a/src/libgateway/settings.cpp
+++ b/src/libgateway/settings.cpp
@@ -138,6 +138,15 @@
       {"retries.extra", SettingType::Number, "repeats of all VMs", 0, 1e6,
        [](S &O, Str, double V) { O.m_retries.m_extra = V; },
        [](const S &O) { return shown(O.m_retries.m_extra); }},
+      {"quotas.window-s", SettingType::Number, "s", 0.1, 3600,
+       [](S &O, Str, double V) { O.m_quotas.m_window = fromSeconds(V); },
+       [](const S &O) { return shown(toSeconds(O.m_quotas.m_window)); }},
+      {"quotas.over", SettingType::Number, "share", 0, 1,
+       [](S &O, Str, double V) { O.m_quotas.m_over = V; },
+       [](const S &O) { return shown(O.m_quotas.m_over); }},
+      {"quotas.extra-tokens", SettingType::Number, "cost", 0, 1e9,
+       [](S &O, Str, double V) { O.m_quotas.m_slack = V; },
+       [](const S &O) { return shown(O.m_quotas.m_slack); }},
   };
   return Table;
 }
@@ -148,7 +157,19 @@
          Key == "vm.memory-mb" || Key == "listen.metrics" ||
          Key == "store.lease-ms" || Key == "store.drain-limit-ms" ||
          Key == "store.configuration-limit-ms" || Key == "stop.limit-s" ||
-         Key.rfind("retries.", 0) == 0;
+         Key.rfind("retries.", 0) == 0 || Key.rfind("quotas.", 0) == 0;
+}
+
+/// Checks that credits and refunds are spent within the excess that the bound
+/// of a window allows.
+Result<void> checkQuotas(const quota::QuotaBounds &Bounds) {
+  const Milliseconds Needed = quota::CreditLifetime + quota::RefundLimit;
+  const double Allowed = Bounds.m_over * toSeconds(Bounds.m_window);
+  if (toSeconds(Needed) <= Allowed)
+    return boost::outcome_v2::success();
+  return settingError("quotas.window-s x quotas.over", shown(Allowed) + " s",
+                      "at least " + shown(toSeconds(Needed)) +
+                          " s, the lifetime of credits and their refund");
 }
 
 Result<void> readOne(const YAML::Node &Root, const SettingSpec &Spec,
@@ -200,6 +221,7 @@
   for (const SettingSpec &Spec : specs()) {
     BOOST_OUTCOME_TRYV(readOne(Root, Spec, Out));
   }
+  BOOST_OUTCOME_TRYV(checkQuotas(Out.m_quotas));
   const YAML::Node Domains = at(Root, "failure-domains");
   if (!Domains.IsMap())
     return settingError("failure-domains", found(Domains),
--- a/src/libgateway/settings.h
+++ b/src/libgateway/settings.h
@@ -3,6 +3,7 @@
 #define PRIMROSEWORKS_LIBGATEWAY_SETTINGS_H
 
 #include "libgateway/retrywindow.h"
+#include "libquota/quotatypes.h"
 #include "primroseworks/error.h"
 
 #include <map>
@@ -28,6 +29,7 @@
   Milliseconds m_configurationLimit{2500};
   Milliseconds m_stopLimit{8000}; ///< From SIGTERM until the process is killed.
   RetryLimit m_retries;
+  quota::QuotaBounds m_quotas;   ///< Of the use of each account.
   unsigned m_descriptors = 1024; ///< Maximum number of open files and sockets.
   double m_cpuShare = 1;         ///< Cores that this VM may use.
   /// Memory that this process may use; 0: what it can read of its VM.
