--- a/src/libgateway/gateway.cpp
+++ b/src/libgateway/gateway.cpp
@@ -87,6 +87,34 @@
   });
 }
 
+/// Takes over the agents that a leader recorded, and then the present ones.
+void Gateway::applyQuotaAgents() {
+  const BootTime Now = BootClock::now();
+  const auto Key = m_gatewayItems.find(QuotaAgentsKey);
+  if (Key != m_gatewayItems.end())
+    m_quotas.service().onRecordedAgents(Key->second.m_value, Now);
+  m_quotas.service().onMembers(Now);
+}
+
+/// Records the agents if they changed and this VM leads.
+void Gateway::recordQuotaAgents(TimePoint Now) {
+  if (!isLeader() || !m_quotas.service().limits() ||
+      Now - m_quotaAgentsWrittenAt < QuotaAgentsWriteInterval)
+    return;
+  std::string Names = m_quotas.service().agentsToRecord(BootClock::now());
+  const auto Key = m_gatewayItems.find(QuotaAgentsKey);
+  if (Key != m_gatewayItems.end() && Key->second.m_value == Names)
+    return;
+  m_quotaAgentsWrittenAt = Now;
+  spawnTask(m_io, *m_core.m_metrics, "quota_agents",
+            [this, Names]() -> asio::awaitable<void> {
+              const StoreWrite Write{QuotaAgentsKey, Names, 0};
+              const Result<std::uint64_t> Written =
+                  co_await m_store.write(Write, false);
+              onStoreResult(Written.has_value(), "quota_agents");
+            });
+}
+
 QuotaLinks Gateway::quotaLinks() {
   QuotaLinks Out;
   Out.m_send = [this](const std::string &Name, const QuotaMessage &Message) {
@@ -195,7 +223,7 @@
         .number("revision", static_cast<std::int64_t>(Revision));
   m_leaderName = Leader;
   m_peers.setMembers(Members);
-  m_quotas.service().onMembers(BootClock::now());
+  applyQuotaAgents();
   m_peers.setLeader(Leader, HasLeader ? Key->second.m_revision : Revision);
   if (Leader != m_core.m_settings.m_vm && m_leaderClaim.onForeignKey(Revision))
     m_placementLeader.onClaimLost();
@@ -357,6 +385,7 @@
                             static_cast<double>(m_callerListener.size()));
     m_core.m_metrics->gauge("leads", isLeader() ? 1 : 0);
     m_quotas.service().exportState();
+    recordQuotaAgents(Now);
     checkCopyAge(Now);
     m_core.m_metrics->gauge("loop_lag_seconds", toSeconds(clockNow() - Now));
     m_core.m_metrics->gauge("log_lines_left_out",
--- a/src/libgateway/gateway.h
+++ b/src/libgateway/gateway.h
@@ -27,6 +27,9 @@
 inline constexpr const char *GatewayPrefix = "primrose/";
 inline constexpr const char *MemberPrefix = "primrose/member/";
 inline constexpr const char *LeaderKey = "primrose/placement-leader";
+/// Names of the quotas' agents, one a line, also of those that left not long
+/// ago. The leader writes it, so that a process which starts knows of them.
+inline constexpr const char *QuotaAgentsKey = "primrose/quota-agents";
 
 /// Adapter requests that arrive within this time share one report.
 inline constexpr Milliseconds AdapterRequestBatchDelay{3};
@@ -106,6 +109,8 @@
                     std::uint64_t Revision);
   void onMessage(const SchedulingMessage &Message);
   QuotaLinks quotaLinks();
+  void applyQuotaAgents();
+  void recordQuotaAgents(TimePoint Now);
   void onRelay(const StoreRelay &Relay);
   Duration ownReportInterval() const;
   void onStoreResult(bool Success, const char *Operation);
@@ -142,6 +147,7 @@
   Scheduler m_scheduler;
   SchedulerClient m_schedulerClient;
   QuotaClient m_quotas;
+  TimePoint m_quotaAgentsWrittenAt{}; ///< Last attempt.
   StoreFollower m_storeFollower;
   asio::steady_timer m_relayTimer; ///< Cancelled when relays have a gap.
   TimePoint m_fleetLoadsSentAt{};
--- a/src/libgateway/quotamessage.h
+++ b/src/libgateway/quotamessage.h
@@ -7,13 +7,10 @@
 #include "primroseworks/error.h"
 
 #include <string>
-#include <variant>
 
 namespace primroseworks::gateway {
 
-using QuotaMessage =
-    std::variant<quota::QuotaRequest, quota::QuotaReply, quota::QuotaRefund,
-                 quota::CreditRequest, quota::CreditReply>;
+using quota::QuotaMessage;
 
 std::string encodeQuotaMessage(const QuotaMessage &Message);
 /// Fails with Protocol if Bytes is not a valid message.
--- a/src/libgateway/quotaservice.cpp
+++ b/src/libgateway/quotaservice.cpp
@@ -2,6 +2,8 @@
 #include "libgateway/quotaservice.h"
 #include "libgateway/log.h"
 
+#include <sstream>
+
 namespace primroseworks::gateway {
 
 using namespace quota;
@@ -36,6 +38,21 @@
   m_agents.set(Present, Now);
 }
 
+void QuotaService::onRecordedAgents(const std::string &Names, BootTime Now) {
+  std::set<std::string> Known;
+  std::istringstream In(Names);
+  for (std::string Name; std::getline(In, Name);)
+    Known.insert(Name);
+  m_agents.addKnown(Known, Now);
+}
+
+std::string QuotaService::agentsToRecord(BootTime Now) const {
+  std::string Out;
+  for (const std::string &Name : m_agents.reserved(Now))
+    Out += Name + '\n';
+  return Out;
+}
+
 void QuotaService::onListConfirmed(BootTime Now) {
   const bool Stalled = m_tickAt != BootTime{} && Now - m_tickAt > QuotaStall;
   if (m_agent && !Stalled && Now - m_stalledAt > QuotaStallPause)
--- a/src/libgateway/quotaservice.h
+++ b/src/libgateway/quotaservice.h
@@ -33,6 +33,9 @@
 inline constexpr Milliseconds QuotaStall{1000};
 inline constexpr Milliseconds QuotaStallPause{2000};
 
+/// Shortest interval between writes of the agents to the store.
+inline constexpr Milliseconds QuotaAgentsWriteInterval{1000};
+
 class QuotaService {
 public:
   QuotaService(Core &Shared, const PeerAudience &Audience, QuotaLinks Links);
@@ -41,6 +44,9 @@
   /// Limits: null if no account has one.
   void setLimits(std::shared_ptr<const quota::QuotaLimits> Limits);
   const quota::QuotaLimits *limits() const { return m_limits.get(); }
+  /// Names of agents, one a line, that a leader recorded in the store.
+  void onRecordedAgents(const std::string &Names, BootTime Now);
+  std::string agentsToRecord(BootTime Now) const;
   /// The list of gateways was read.
   void onMembers(BootTime Now);
   /// The store has confirmed the list of gateways.
--- a/src/libgateway/settings_test.cpp
+++ b/src/libgateway/settings_test.cpp
@@ -39,6 +39,7 @@
   EXPECT_EQ(S.value().m_regions.at("d2"), "r2");
   EXPECT_EQ(S.value().m_lease, Milliseconds(2000));
   EXPECT_DOUBLE_EQ(S.value().m_retries.m_extra, 58);
+  EXPECT_EQ(S.value().m_quotas.m_window, Seconds(8));
   bool Default = false;
   for (const SettingRow &Row : describeSettings(Good, S.value()))
     if (Row.m_key == "stop.limit-s")
@@ -55,6 +56,7 @@
       {with("\"10.9.0.1:8142\"", "\"10.9.0.1\""), "store.address"},
       {with("failure-domain: \"d1\"", "failure-domain: \"d7\""),
        "failure-domains"},
+      {Good + "quotas:\n  window-s: 4\n  over: 0.1\n", "quotas.over"},
       {"- a list", "table"},
       {"vm: [", "YAML"}};
   for (const auto &[Yaml, Named] : Cases) {
--- a/src/libquota/agentlist.cpp
+++ b/src/libquota/agentlist.cpp
@@ -15,6 +15,11 @@
     m_agents[Name].reset();
 }
 
+void AgentList::addKnown(const std::set<std::string> &Names, BootTime Now) {
+  for (const std::string &Name : Names)
+    m_agents.try_emplace(Name, Now);
+}
+
 std::set<std::string> AgentList::reserved(BootTime Now) const {
   std::set<std::string> Out;
   for (const auto &[Name, LeftAt] : m_agents)
--- a/src/libquota/agentlist.h
+++ b/src/libquota/agentlist.h
@@ -23,6 +23,9 @@
 public:
   /// Sets the agents that the store's list contains.
   void set(const std::set<std::string> &Present, BootTime Now);
+  /// Adds agents that another process knew. Those that are not in the list
+  /// count as having left it now.
+  void addKnown(const std::set<std::string> &Names, BootTime Now);
   /// Agents that are in the list or left it within ReservePeriod.
   std::set<std::string> reserved(BootTime Now) const;
   unsigned count(BootTime Now) const;
--- a/src/libquota/quota_test.cpp
+++ b/src/libquota/quota_test.cpp
@@ -3,6 +3,7 @@
 #include "libquota/quotasim_fake.h"
 
 #include <cmath>
+#include <cstdlib>
 #include <gtest/gtest.h>
 
 using namespace primroseworks;
@@ -170,6 +171,56 @@
   }
 }
 
+/// The owner must not keep a burst that agents save up for themselves as well.
+TEST_F(Quota, BurstIsNotSavedOnBothSidesOfAPartition) {
+  const QuotaLimit L{QuotaUnit::Tokens, Rate, 10 * Rate, 200};
+  QuotaSim &S = fleet({9, 9, 0, 0, 16}, L);
+  S.at(20, [&S] {
+    for (unsigned N = 4; N < 9; ++N)
+      S.m_nodes[N]->m_side = 1;
+  });
+  S.load(11, 11.1, Rate, Cost, [] { return 0U; });
+  S.load(45, 60, 25 * Rate, Cost, [&S] { return S.any(); });
+  S.run(61);
+  expectBound(L);
+}
+
+/// Combinations of faults that no other test has.
+TEST_F(Quota, BoundHoldsUnderRandomFaults) {
+  const char *const Seeds = std::getenv("QUOTA_SEEDS");
+  const unsigned Count = Seeds ? std::stoul(Seeds) : 20;
+  for (unsigned Seed = 1; Seed <= Count; ++Seed) {
+    QuotaSim &S = fleet({12, Seed % 2 ? 12U : 5U, 0.02, 0.05, Seed});
+    S.m_notRun = 0.2;
+    flood(60);
+    for (int I = 0; I < 25; ++I)
+      S.at(6 + 2 * I, [&S] {
+        const unsigned N = S.any();
+        QuotaSim::Node &Node = *S.m_nodes[N];
+        switch (S.any() % 6) {
+        case 0:
+          return S.kill(N);
+        case 1:
+          return Node.m_alive ? void() : S.restart(N);
+        case 2:
+          return S.freeze(N, 0.1 * S.any() + 0.1);
+        case 3:
+          Node.m_side = 1 - Node.m_side;
+          Node.m_storeReachable = Node.m_side == 0;
+          return;
+        case 4:
+          Node.m_side = 1 - Node.m_side;
+          return;
+        default:
+          S.m_storeUp = !S.m_storeUp;
+        }
+      });
+    S.run(61);
+    SCOPED_TRACE(Seed);
+    expectBound();
+  }
+}
+
 TEST_F(Quota, BaseSharesApplyWhileTheStoreIsDown) {
   QuotaSim &S = fleet({9, 9, 0, 0, 9});
   flood(60);
--- a/src/libquota/quotaagent.cpp
+++ b/src/libquota/quotaagent.cpp
@@ -74,17 +74,24 @@
 
 // --- Base share ------------------------------------------------------------
 
-/// Since when the base share has been filled; nothing if it must not be used.
-std::optional<BootTime> QuotaAgent::baseSince(const AgentList &List,
-                                              BootTime Now) {
+/// Notices a change of the number of agents, after which base shares start
+/// empty.
+void QuotaAgent::countAgents(const AgentList &List, BootTime Now) {
   const bool StatedCounts =
       m_ownerAgents > 0 && Now - m_ownerAgentsAt < ReservePeriod;
   const unsigned Agents =
       std::max({1U, List.count(Now), StatedCounts ? m_ownerAgents : 0});
-  if (Agents != m_baseAgents) {
-    m_baseAgents = Agents;
-    m_baseChangedAt = Now;
-  }
+  m_agentsCountedAt = Now;
+  if (Agents == m_baseAgents)
+    return;
+  m_baseAgents = Agents;
+  m_baseChangedAt = Now;
+}
+
+/// Since when the base share has been filled; nothing if it must not be used.
+std::optional<BootTime> QuotaAgent::baseSince(const AgentList &List,
+                                              BootTime Now) {
+  countAgents(List, Now);
   const BootTime Since =
       std::max({m_promisedUntil, m_startedAt + JoinDelay, m_baseChangedAt});
   if (!List.known() || !m_listConfirmedAt || Now < Since ||
@@ -401,6 +408,8 @@
                                            BootTime Now) {
   std::vector<QuotaReply> Out;
   forgetTickets(Now);
+  if (Now - m_agentsCountedAt >= BusyAskInterval)
+    countAgents(List, Now);
   if (m_held == 0)
     return Out;
   for (auto &[Name, A] : m_accounts) {
--- a/src/libquota/quotaagent.h
+++ b/src/libquota/quotaagent.h
@@ -25,7 +25,7 @@
 inline constexpr Milliseconds BusyAskInterval{100};
 inline constexpr Milliseconds IdleAskInterval{200};
 /// Shortest interval between requests to the owner for requests that are held.
-inline constexpr Milliseconds MinAskInterval{5};
+inline constexpr Milliseconds MinAskInterval{20};
 /// A request is held for the owner's answer this long at most.
 inline constexpr Milliseconds MaxHold{200};
 /// Credit is obtained ahead for this time, if so many requests are expected in
@@ -113,6 +113,7 @@
   bool takeCredit(Account &A, Amount Cost, Ticket &T, BootTime Now);
   bool takeBase(Account &A, Amount Cost, Ticket &T, const AgentList &List,
                 const QuotaLimit &Limit, Milliseconds &Wait, BootTime Now);
+  void countAgents(const AgentList &List, BootTime Now);
   std::optional<BootTime> baseSince(const AgentList &List, BootTime Now);
   QuotaReply decideByBase(const QuotaTicket &Id, Account &A, Amount Cost,
                           const AgentList &List, const QuotaLimit &Limit,
@@ -142,6 +143,7 @@
   BootTime m_ownerAgentsAt{};
   unsigned m_baseAgents = 0; ///< Number that the base share is a part of.
   BootTime m_baseChangedAt{};
+  BootTime m_agentsCountedAt{};
   std::uint64_t m_lastNumber = 0;
   std::map<std::uint64_t, BootTime> m_asked; ///< When, by number; unanswered.
   BootTime m_lastAsk{};
--- a/src/libquota/quotaowner.h
+++ b/src/libquota/quotaowner.h
@@ -20,6 +20,10 @@
 /// is younger than this, since its buckets started empty.
 inline constexpr Milliseconds OwnerSettleTime{2000};
 
+/// Nor while the shares of so many agents are withdrawn that an account within
+/// its limit may find no room.
+inline constexpr double MinSettledShare = 0.85;
+
 class QuotaOwner {
 public:
   /// Token: fencing token of the claim under which this VM is the owner.
--- a/src/libquota/quotasim_fake.h
+++ b/src/libquota/quotasim_fake.h
@@ -113,6 +113,7 @@
     at(Begin, [=] { arrive(End, Rate, Cost, Pick); });
   }
   double time() const { return toSeconds(m_now.time_since_epoch()); }
+  unsigned number() { return m_random(); }
   unsigned any() { return m_random() % m_options.m_vms; }
   unsigned leader() const {
     for (unsigned I = 0; I < m_nodes.size(); ++I)
@@ -164,7 +165,10 @@
   double m_notRun = 0;
   std::vector<SimRun> m_runs;
   std::map<QuotaStatus, unsigned> m_results;
-  unsigned m_messages = 0;
+  /// Account of the next request.
+  std::function<std::string()> m_account = [] { return "a"; };
+  /// Called with the sender, the receiver and the message.
+  std::function<void(unsigned, unsigned, const QuotaMessage &)> m_onSend;
 
 private:
   struct Event {
@@ -194,10 +198,12 @@
       Do();
     });
   }
-  void send(unsigned From, unsigned To, std::function<void()> Deliver) {
+  void send(unsigned From, unsigned To, const QuotaMessage &Message,
+            std::function<void()> Deliver) {
     if (From == To)
       return Deliver();
-    ++m_messages;
+    if (m_onSend)
+      m_onSend(From, To, Message);
     if (m_nodes[From]->m_side != m_nodes[To]->m_side ||
         uniform() < m_options.m_loss)
       return;
@@ -229,7 +235,10 @@
       for (auto &N : m_nodes) {
         if (!N->m_alive || !N->m_storeReachable || N->m_frozenUntil > m_now)
           continue;
+        N->m_agents.addKnown(m_storedAgents, m_now);
         N->m_agents.set(Present, m_now);
+        if (N->m_token != 0 && N->m_token == m_storeToken)
+          m_storedAgents = N->m_agents.reserved(m_now);
         N->m_list = Present;
         N->m_agent->onListConfirmed(m_now);
         N->m_leader = m_storeLeader;
@@ -271,7 +280,7 @@
     if (!Request)
       return;
     const unsigned Leader = N.m_leader;
-    send(I, Leader, [this, I, Leader, Request = *Request] {
+    send(I, Leader, *Request, [this, I, Leader, Request = *Request] {
       Node &L = *m_nodes[Leader];
       if (L.m_token == 0 || m_now >= L.m_claimValidUntil)
         return;
@@ -279,7 +288,7 @@
         L.m_owner = std::make_unique<QuotaOwner>(L.m_token, m_bounds, m_now);
       const CreditReply Reply =
           L.m_owner->onRequest(Request, L.m_agents, m_limits, m_now);
-      send(Leader, I, [this, I, Reply] {
+      send(Leader, I, Reply, [this, I, Reply] {
         deliver(I, m_nodes[I]->m_agent->onReply(Reply, m_limits, m_now));
         askOwner(I);
       });
@@ -288,7 +297,7 @@
   void deliver(unsigned Agent, const std::vector<QuotaReply> &Replies) {
     for (const QuotaReply &R : Replies) {
       const unsigned Vm = index(R.m_ticket.m_sender);
-      send(Agent, Vm, [this, Vm, R] { onReply(Vm, R); });
+      send(Agent, Vm, R, [this, Vm, R] { onReply(Vm, R); });
     }
   }
 
@@ -318,7 +327,7 @@
           Agents.push_back(Other);
       }
       const std::uint64_t Number = ++m_numbers;
-      QuotaRequest R{{N.m_name, N.m_start, Number}, "a", Cost};
+      QuotaRequest R{{N.m_name, N.m_start, Number}, m_account(), Cost};
       const auto [It, IsNew] = N.m_charges.emplace(
           Number, std::pair(QuotaCharge(R, Agents, m_now), Arrived));
       apply(Vm, Number, It->second.first.start(m_now));
@@ -337,7 +346,8 @@
     if (Step.m_sendTo.empty())
       return;
     const unsigned To = index(Step.m_sendTo);
-    send(Vm, To, [this, To, R = N.m_charges.at(Number).first.request()] {
+    const QuotaRequest R = N.m_charges.at(Number).first.request();
+    send(Vm, To, R, [this, To, R] {
       Node &A = *m_nodes[To];
       deliver(To, {A.m_agent->onRequest(R, A.m_agents, m_limits, m_now)});
       askOwner(To);
@@ -364,7 +374,7 @@
     }
     const unsigned Agent = index(Result.m_agent);
     runAt(Vm, m_now + fromSeconds(uniform() * 0.3), [=] {
-      send(Vm, Agent, [=] {
+      send(Vm, Agent, QuotaRefund{R.m_ticket}, [=] {
         m_nodes[Agent]->m_agent->onRefund({R.m_ticket}, m_limits, m_now);
       });
     });
@@ -379,6 +389,7 @@
   std::uint64_t m_tokens = 0;
   std::uint64_t m_storeToken = 0;
   unsigned m_storeLeader = 0;
+  std::set<std::string> m_storedAgents; ///< That the leader wrote last.
 };
 
 } // namespace primroseworks::quota::testing
--- a/src/libquota/quotatypes.h
+++ b/src/libquota/quotatypes.h
@@ -11,6 +11,7 @@
 #include <cstdint>
 #include <string>
 #include <tuple>
+#include <variant>
 #include <vector>
 
 namespace primroseworks::quota {
@@ -137,6 +138,9 @@
   std::vector<CreditGrant> m_grants; ///< In the order of the asks.
 };
 
+using QuotaMessage = std::variant<QuotaRequest, QuotaReply, QuotaRefund,
+                                  CreditRequest, CreditReply>;
+
 /// Longest time from the request for a credit to the use of its refund. All
 /// that runs in a window was then taken from the buckets within the window and
 /// over x (window + burst / rate) more.
