--- a/src/libgateway/quotaclient.cpp
+++ b/src/libgateway/quotaclient.cpp
@@ -28,8 +28,7 @@
 
 const QuotaLimit *QuotaClient::limit(const std::string &Account) const {
   const QuotaLimits *Limits = m_service.limits();
-  const QuotaLimit *Limit =
-      Limits && !Account.empty() ? Limits->find(Account) : nullptr;
+  const QuotaLimit *Limit = Limits ? Limits->find(Account) : nullptr;
   return Limit && !Limit->unlimited() ? Limit : nullptr;
 }
 
--- a/src/libquota/quotaowner.cpp
+++ b/src/libquota/quotaowner.cpp
@@ -164,8 +164,8 @@
   Out.m_agents = agentCount();
   Out.m_token = m_token;
   Out.m_stamp = stampOf(Now);
-  Out.m_settled = Now - m_startedAt >= OwnerSettleTime &&
-                  m_share >= MinSettledShare;
+  Out.m_settled =
+      Now - m_startedAt >= OwnerSettleTime && m_share >= MinSettledShare;
   for (const CreditAsk &Ask : Request.m_asks) {
     const QuotaLimit *Limit = Limits.find(Ask.m_account);
     if (Limit && !Limit->unlimited())
--- a/src/libquota/quotasim_fake.h
+++ b/src/libquota/quotasim_fake.h
@@ -109,7 +109,7 @@
   /// Requests of account "a" from Begin to End, at Rate cost units a second,
   /// at VMs that Pick chooses.
   void load(double Begin, double End, double Rate, Amount Cost,
-            std::function<unsigned()> Pick) {
+            const std::function<unsigned()> &Pick) {
     at(Begin, [=] { arrive(End, Rate, Cost, Pick); });
   }
   double time() const { return toSeconds(m_now.time_since_epoch()); }
@@ -187,7 +187,7 @@
   }
   /// Runs Do at a node, after its freeze if it is frozen, unless its process
   /// has ended.
-  void runAt(unsigned I, BootTime Time, std::function<void()> Do) {
+  void runAt(unsigned I, BootTime Time, const std::function<void()> &Do) {
     const std::uint64_t Start = m_nodes[I]->m_start;
     schedule(Time, [=] {
       Node &N = *m_nodes[I];
@@ -199,7 +199,7 @@
     });
   }
   void send(unsigned From, unsigned To, const QuotaMessage &Message,
-            std::function<void()> Deliver) {
+            const std::function<void()> &Deliver) {
     if (From == To)
       return Deliver();
     if (m_onSend)
@@ -302,7 +302,7 @@
   }
 
   void arrive(double End, double Rate, Amount Cost,
-              std::function<unsigned()> Pick) {
+              const std::function<unsigned()> &Pick) {
     if (m_now >= testing::at(End))
       return;
     request(Pick(), Cost);
