--- a/src/libgateway/exchange.h
+++ b/src/libgateway/exchange.h
@@ -6,6 +6,7 @@
 #include "libgateway/attempt.h"
 #include "libgateway/core.h"
 #include "libgateway/failoverprobe.h"
+#include "libgateway/quotaclient.h"
 
 #include <asio/awaitable.hpp>
 #include <memory>
@@ -53,6 +54,8 @@
   unsigned rank() const;
   bool forwardsHeader(const HttpHeader &Header) const;
   asio::awaitable<bool> rejectKey(KeyVerdict Verdict);
+  asio::awaitable<bool> chargeQuota();
+  void settleQuota();
   asio::awaitable<bool> finishAfterAttempt(AttemptOutcome Outcome);
   asio::awaitable<bool> acquireEndpoint();
   bool isRefusedSuspect(TimePoint Now);
@@ -149,6 +152,7 @@
   const ClientAccount *m_account = nullptr;
   RequestMetadata m_requestMetadata;
   ChoiceQuery m_query;
+  std::optional<QuotaCharged> m_quota; ///< Until its outcome is reported.
   std::uint64_t m_fingerprint = 0; ///< Equal for a retry of the same request.
   /// Parts of its prompt that other requests may share, each once.
   std::vector<std::uint64_t> m_promptParts;
--- a/src/libgateway/gateway.cpp
+++ b/src/libgateway/gateway.cpp
@@ -60,7 +60,8 @@
           [this](const std::string &Name, const SchedulingMessage &Message) {
             m_peers.sendMessage(Name, Message);
           }),
-      m_relayTimer(Io), m_storeEra(m_core.m_settings.m_lease), m_leaseTimer(Io),
+      m_quotas(m_core, m_peers.audience(), quotaLinks()), m_relayTimer(Io),
+      m_storeEra(m_core.m_settings.m_lease), m_leaseTimer(Io),
       m_leaderClaim(m_core.m_settings.m_lease, LeaderLeaseMargin),
       m_placementLeader(m_core, m_leaderClaim, m_core.m_settings.m_vm,
                         [this](const std::string &Id) {
@@ -73,6 +74,10 @@
         m_peers.announceHoldings(fencingToken(), clockNow());
       }) {
   m_core.m_schedulerClient = &m_schedulerClient;
+  m_core.m_quotas = &m_quotas;
+  m_peers.setOnQuotaMessage([this](const QuotaMessage &Message) {
+    m_quotas.onMessage(Message, BootClock::now());
+  });
   m_storePool.limitMemory(m_core.m_memory);
   m_store.setOnEra([this](std::uint64_t Era) { return onStoreEra(Era); });
   m_peers.setOnMessage(
@@ -84,6 +89,44 @@
   });
 }
 
+/// Takes over the agents that a leader recorded, and then the present ones.
+void Gateway::applyQuotaAgents() {
+  const BootTime Now = BootClock::now();
+  const auto Key = m_gatewayItems.find(QuotaAgentsKey);
+  if (Key != m_gatewayItems.end())
+    m_quotas.service().onRecordedAgents(Key->second.m_value, Now);
+  m_quotas.service().onMembers(Now);
+}
+
+/// Records the agents if they changed and this VM leads.
+void Gateway::recordQuotaAgents(TimePoint Now) {
+  if (!isLeader() || !m_quotas.service().limits() ||
+      Now - m_quotaAgentsWrittenAt < QuotaAgentsWriteInterval)
+    return;
+  std::string Names = m_quotas.service().agentsToRecord(BootClock::now());
+  const auto Key = m_gatewayItems.find(QuotaAgentsKey);
+  if (Key != m_gatewayItems.end() && Key->second.m_value == Names)
+    return;
+  m_quotaAgentsWrittenAt = Now;
+  spawnTask(m_io, *m_core.m_metrics, "quota_agents",
+            [this, Names]() -> asio::awaitable<void> {
+              const StoreWrite Write{QuotaAgentsKey, Names, 0};
+              const Result<StoreVersion> Written =
+                  co_await m_store.write(Write, false);
+              onStoreResult(Written.has_value(), "quota_agents");
+            });
+}
+
+QuotaLinks Gateway::quotaLinks() {
+  QuotaLinks Out;
+  Out.m_send = [this](const std::string &Name, const QuotaMessage &Message) {
+    m_peers.sendQuotaMessage(Name, Message);
+  };
+  Out.m_leader = [this] { return m_peers.leader(); };
+  Out.m_fencingToken = [this] { return fencingToken(); };
+  return Out;
+}
+
 Result<void> Gateway::start() {
   decisionlog::setVm(m_core.m_settings.m_vm);
   decisionlog::line(LogClass::Lifecycle, "start")
@@ -92,6 +135,7 @@
       .text("store", m_core.m_settings.m_store);
   BOOST_OUTCOME_TRYV(m_peers.open());
   m_schedulerClient.setStart(m_peers.start());
+  m_quotas.setStart(m_peers.start(), BootClock::now());
   BOOST_OUTCOME_TRYV(openStatusListener(m_core.m_settings.m_ready, false));
   if (!m_core.m_settings.m_metrics.empty()) {
     BOOST_OUTCOME_TRYV(openStatusListener(m_core.m_settings.m_metrics, true));
@@ -103,6 +147,7 @@
   startLoop("lease", [this] { return maintainLease(); });
   startLoop("maintenance", [this] { return runMaintenance(); });
   startLoop("reports", [this] { return sendReports(); });
+  startLoop("quotas", [this] { return m_quotas.run(); });
   startLoop("signals", [this] { return awaitSignals(); });
   return boost::outcome_v2::success();
 }
@@ -189,6 +234,7 @@
         .number("era", static_cast<std::int64_t>(Version.m_era));
   m_leaderName = Leader;
   m_peers.setMembers(knownMembers());
+  applyQuotaAgents();
   const StoreVersion LeaderSince = HasLeader ? Key->second.m_version : Version;
   const std::uint64_t LeaderToken = primroseworks::fencingToken(LeaderSince);
   m_peers.setLeader(Leader, LeaderToken);
@@ -390,6 +436,8 @@
     m_core.m_metrics->gauge("caller_connections",
                             static_cast<double>(m_callerListener.size()));
     m_core.m_metrics->gauge("leads", isLeader() ? 1 : 0);
+    m_quotas.service().exportState();
+    recordQuotaAgents(Now);
     checkCopyAge(Now);
     if (m_formerMembers.expire(Now))
       applyGateways(m_storeFollower.version());
--- a/src/libgateway/gateway.h
+++ b/src/libgateway/gateway.h
@@ -8,6 +8,7 @@
 #include "libgateway/core.h"
 #include "libgateway/peers.h"
 #include "libgateway/placementleader.h"
+#include "libgateway/quotaclient.h"
 #include "libgateway/scheduler.h"
 #include "libgateway/schedulerclient.h"
 #include "libgateway/store.h"
@@ -27,6 +28,9 @@
 inline constexpr const char *GatewayPrefix = "primrose/";
 inline constexpr const char *MemberPrefix = "primrose/member/";
 inline constexpr const char *LeaderKey = "primrose/placement-leader";
+/// Names of the quotas' agents, one a line, also of those that left not long
+/// ago. The leader writes it, so that a process which starts knows of them.
+inline constexpr const char *QuotaAgentsKey = "primrose/quota-agents";
 
 /// Adapter requests that arrive within this time share one report.
 inline constexpr Milliseconds AdapterRequestBatchDelay{3};
@@ -70,6 +74,7 @@
   /// Runs the event loop until the process stops. An exception of a handler is
   /// logged and counted, and ends nothing else.
   void run();
+  QuotaClient &quotas() { return m_quotas; }
 
 private:
   asio::awaitable<void> watchStore();
@@ -102,6 +107,9 @@
   void applyChanges(const std::vector<StoreChange> &Changes,
                     const StoreVersion &Version);
   void onMessage(const SchedulingMessage &Message);
+  QuotaLinks quotaLinks();
+  void applyQuotaAgents();
+  void recordQuotaAgents(TimePoint Now);
   void onRelay(const StoreRelay &Relay);
   Duration ownReportInterval() const;
   void onStoreResult(bool Success, const char *Operation);
@@ -155,6 +163,8 @@
   Peers m_peers;
   Scheduler m_scheduler;
   SchedulerClient m_schedulerClient;
+  QuotaClient m_quotas;
+  TimePoint m_quotaAgentsWrittenAt{}; ///< Last attempt.
   StoreFollower m_storeFollower;
   asio::steady_timer m_relayTimer; ///< Cancelled when relays have a gap.
   StoreEra<BootTime> m_storeEra;
--- a/src/libgateway/gatewayaccounts.cpp
+++ b/src/libgateway/gatewayaccounts.cpp
@@ -4,12 +4,34 @@
 #include "libgateway/gateway.h"
 #include "libgateway/log.h"
 
+#include <algorithm>
 #include <sys/resource.h>
 
 namespace primroseworks::gateway {
 
 namespace {
 
+/// The limits of the accounts of one version of the configuration.
+class ConfiguredLimits final : public quota::QuotaLimits {
+public:
+  explicit ConfiguredLimits(ConfigurationPtr Source)
+      : m_configuration(std::move(Source)) {}
+  const QuotaLimit *find(const std::string &Account) const override {
+    const ClientAccount *A = m_configuration->m_accounts->find(Account);
+    return A && !A->m_quota.unlimited() ? &A->m_quota : nullptr;
+  }
+  std::uint64_t version() const override { return m_configuration->m_version; }
+  bool any() const override {
+    const auto &All = m_configuration->m_accounts->accounts();
+    return std::any_of(All.begin(), All.end(), [](const ClientAccount &A) {
+      return !A.m_quota.unlimited();
+    });
+  }
+
+private:
+  ConfigurationPtr m_configuration; ///< Has accounts.
+};
+
 /// Wait of a confirming watch: it returns at once, with changes or without.
 constexpr Milliseconds ConfirmingWait{1};
 
@@ -21,8 +43,12 @@
   m_core.m_metrics->gauge(
       "accounts",
       C.m_accounts ? static_cast<double>(C.m_accounts->accounts().size()) : 0);
-  if (!C.m_accounts)
+  if (!C.m_accounts) {
+    m_quotas.service().setLimits(nullptr);
     return;
+  }
+  auto Limits = std::make_shared<ConfiguredLimits>(m_core.m_configuration);
+  m_quotas.service().setLimits(Limits->any() ? std::move(Limits) : nullptr);
   // Requests in progress have keys, and a core file has the whole memory.
   const rlimit NoCoreFile{0, 0};
   (void)setrlimit(RLIMIT_CORE, &NoCoreFile);
--- a/src/libgateway/leadership.h
+++ b/src/libgateway/leadership.h
@@ -3,6 +3,7 @@
 #ifndef PRIMROSEWORKS_LIBGATEWAY_LEADERSHIP_H
 #define PRIMROSEWORKS_LIBGATEWAY_LEADERSHIP_H
 
+#include "libbase/bootclock.h"
 #include "libstoreversion/storeversion.h"
 #include "primroseworks/time.h"
 
@@ -11,17 +12,6 @@
 
 namespace primroseworks::gateway {
 
-/// Clock that also advances while the VM is suspended, unlike the steady clock.
-/// The validity of leases is measured with it.
-struct BootClock {
-  using duration = std::chrono::nanoseconds;
-  using rep = duration::rep;
-  using period = duration::period;
-  using time_point = std::chrono::time_point<BootClock>;
-  static time_point now();
-};
-using BootTime = BootClock::time_point;
-
 /// The lease of this process and its claim on the leader key under that lease.
 class LeaderClaim {
 public:
--- a/src/libgateway/settings.cpp
+++ b/src/libgateway/settings.cpp
@@ -155,6 +155,15 @@
        [](const S &O) {
          return std::string(O.m_revokeStrict ? "true" : "false");
        }},
+      {"quotas.window-s", SettingType::Number, "s", 0.1, 3600,
+       [](S &O, Str, double V) { O.m_quotas.m_window = fromSeconds(V); },
+       [](const S &O) { return shown(toSeconds(O.m_quotas.m_window)); }},
+      {"quotas.over", SettingType::Number, "share", 0, 1,
+       [](S &O, Str, double V) { O.m_quotas.m_over = V; },
+       [](const S &O) { return shown(O.m_quotas.m_over); }},
+      {"quotas.extra-tokens", SettingType::Number, "cost", 0, 1e9,
+       [](S &O, Str, double V) { O.m_quotas.m_slack = V; },
+       [](const S &O) { return shown(O.m_quotas.m_slack); }},
   };
   return Table;
 }
@@ -166,7 +175,19 @@
          Key == "store.lease-ms" || Key == "store.drain-limit-ms" ||
          Key == "store.configuration-limit-ms" || Key == "stop.limit-s" ||
          Key == "endpoints.adaptive-pace" || Key.rfind("retries.", 0) == 0 ||
-         Key.rfind("accounts.", 0) == 0;
+         Key.rfind("accounts.", 0) == 0 || Key.rfind("quotas.", 0) == 0;
+}
+
+/// Checks that credits and refunds are spent within the excess that the bound
+/// of a window allows.
+Result<void> checkQuotas(const quota::QuotaBounds &Bounds) {
+  const Milliseconds Needed = quota::CreditLifetime + quota::RefundLimit;
+  const double Allowed = Bounds.m_over * toSeconds(Bounds.m_window);
+  if (toSeconds(Needed) <= Allowed)
+    return boost::outcome_v2::success();
+  return settingError("quotas.window-s x quotas.over", shown(Allowed) + " s",
+                      "at least " + shown(toSeconds(Needed)) +
+                          " s, the lifetime of credits and their refund");
 }
 
 Result<void> readOne(const YAML::Node &Root, const SettingSpec &Spec,
@@ -231,6 +252,7 @@
     return makeError(ErrorKind::InvalidArgument,
                      "setting 'accounts.revoke-limit-ms': " +
                          Fresh.error().m_message);
+  BOOST_OUTCOME_TRYV(checkQuotas(Out.m_quotas));
   const YAML::Node Domains = at(Root, "failure-domains");
   if (!Domains.IsMap())
     return settingError("failure-domains", found(Domains),
--- a/src/libgateway/settings.h
+++ b/src/libgateway/settings.h
@@ -3,6 +3,7 @@
 #define PRIMROSEWORKS_LIBGATEWAY_SETTINGS_H
 
 #include "libgateway/retrywindow.h"
+#include "libquota/quotatypes.h"
 #include "primroseworks/error.h"
 
 #include <map>
@@ -33,6 +34,7 @@
   Milliseconds m_revokeLimit{0};
   /// Requests with keys are refused while the copy is too old for that.
   bool m_revokeStrict = false;
+  quota::QuotaBounds m_quotas;   ///< Of the use of each account.
   unsigned m_descriptors = 1024; ///< Maximum number of open files and sockets.
   bool m_adaptivePace = false; ///< Endpoints have adaptive concurrency limits.
   double m_cpuShare = 1;       ///< Cores that this VM may use.
--- a/src/libgateway/settings_test.cpp
+++ b/src/libgateway/settings_test.cpp
@@ -43,6 +43,7 @@
   EXPECT_TRUE(parseSettings(Good + "endpoints:\n  adaptive-pace: true\n")
                   .value()
                   .m_adaptivePace);
+  EXPECT_EQ(S.value().m_quotas.m_window, Seconds(8));
   bool Default = false;
   for (const SettingRow &Row : describeSettings(Good, S.value()))
     if (Row.m_key == "stop.limit-s")
@@ -60,6 +61,7 @@
       {with("\"10.9.0.1:8142\"", "\"10.9.0.1\""), "store.address"},
       {with("failure-domain: \"d1\"", "failure-domain: \"d7\""),
        "failure-domains"},
+      {Good + "quotas:\n  window-s: 4\n  over: 0.1\n", "quotas.over"},
       {"- a list", "table"},
       {"vm: [", "YAML"}};
   for (const auto &[Yaml, Named] : Cases) {
