--- a/src/libaccounts/copyfreshness.cpp
+++ b/src/libaccounts/copyfreshness.cpp
@@ -61,13 +61,12 @@
   return !Age || *Age > maxAge();
 }
 
-bool CopyFreshness::needsConfirmation(BootDuration Now) {
+bool CopyFreshness::needsConfirmation(BootDuration Now, Duration Lead) {
   noticeStall(Now);
   if (!limited())
     return false;
   const std::optional<Duration> Age = age(Now);
-  return !Age ||
-         *Age > std::max<Duration>(maxAge() / 2, maxAge() - ConfirmLeadTime);
+  return !Age || *Age > std::max<Duration>(maxAge() / 2, maxAge() - Lead);
 }
 
 std::optional<Duration> CopyFreshness::age(BootDuration Now) const {
--- a/src/libaccounts/copyfreshness.h
+++ b/src/libaccounts/copyfreshness.h
@@ -65,8 +65,9 @@
   bool refusesKeys(BootDuration Now) {
     return m_limits.m_strict && isStale(Now);
   }
-  /// Whether a call that confirms the copy should be sent now.
-  bool needsConfirmation(BootDuration Now);
+  /// Whether a call that confirms the copy should be sent now, so that Lead is
+  /// left for it and its repetitions.
+  bool needsConfirmation(BootDuration Now, Duration Lead = ConfirmLeadTime);
   /// Time since the call that confirmed the copy last was sent; nothing if none
   /// did since the start or the last stall.
   std::optional<Duration> age(BootDuration Now) const;
--- a/src/libgateway/chooser.cpp
+++ b/src/libgateway/chooser.cpp
@@ -166,8 +166,11 @@
       Slots = Target.m_engine->m_slots;
     Slots = std::max(1U, Slots);
     const EndpointLoad Load = E.load();
-    const PrefillWork Prefill = prefillWork(
-        Query, Load, Table.prefillPace().msPerToken(Query.m_service, Id));
+    const PrefillPace &Pace = Table.prefillPace();
+    const double MsPerToken = Target.m_gapTarget > Milliseconds::zero()
+                                  ? Pace.msPerToken(Query.m_service, Id)
+                                  : Pace.msPerToken(Query.m_service);
+    const PrefillWork Prefill = prefillWork(Query, Load, MsPerToken);
     if (!hasCapacity(Query, Target, Load, Slots, Prefill)) {
       RecordObstacle(ChoiceObstacle::Full);
       continue;
--- a/src/libgateway/core.cpp
+++ b/src/libgateway/core.cpp
@@ -155,7 +155,9 @@
                                                   Limits.m_onTimeUntil, Now);
   if (Out.m_expectedWait > Limits.m_maxWait ||
       Limits.m_maxWait <= Duration::zero()) {
-    logRefusal(Query, Out.m_expectedWait, WaitRefusal::TooLong);
+    // Without time to wait, the caller only asked for a free endpoint.
+    if (Limits.m_maxWait > Duration::zero())
+      logRefusal(Query, Out.m_expectedWait, WaitRefusal::TooLong);
     return Out;
   }
   const std::string Account = Query.m_account;
--- a/src/libgateway/exchangeaccount.cpp
+++ b/src/libgateway/exchangeaccount.cpp
@@ -11,6 +11,8 @@
 
 constexpr unsigned StatusUnauthorized = 401;
 constexpr unsigned StatusUnavailable = 503;
+/// A copy that is stale for longer than this is hardly stale at one VM alone.
+constexpr Milliseconds LocalStalenessTime{1000};
 
 std::optional<std::string_view> keyOf(const HttpHead &Head) {
   std::vector<std::string_view> Values;
@@ -64,7 +66,10 @@
   Rejection R;
   R.m_timeLeft =
       m_requestMetadata.m_deadline.value_or(Milliseconds(m_route->m_timeout));
-  R.m_localCause = true; // Another VM may have a current copy.
+  // At first another VM may have a current copy; later all lack the store.
+  const std::optional<Duration> Age = m_core.m_copyFreshness.age(bootNow());
+  R.m_localCause =
+      !Age || *Age < m_core.m_settings.m_revokeLimit + LocalStalenessTime;
   R.m_random = std::uniform_real_distribution<double>(0, 1)(m_core.m_random);
   const Duration RetryAfter = retryAfter(R);
   co_return co_await sendLocalResponse(StatusUnavailable, std::move(Reason),
--- a/src/libgateway/exchangestream.cpp
+++ b/src/libgateway/exchangestream.cpp
@@ -33,6 +33,8 @@
 
 /// Takes the first event as a sample for the endpoint's adaptive limit.
 void Exchange::recordFirstEventSample(TimePoint Now) {
+  if (!m_core.m_endpoints.pacingEnabled())
+    return;
   const std::uint64_t Prompt = m_query.m_size.m_promptTokens;
   m_core.m_endpoints.onAnswer(
       m_attempt.m_choice.m_endpoint,
@@ -49,7 +51,7 @@
   m_core.m_endpoints.onAnswer(m_attempt.m_choice.m_endpoint,
                               wholeAnswer(m_query, Latency), Now);
   // The latency of an engine's first event is not known from a whole answer.
-  if (m_query.m_size.m_promptTokens == 0)
+  if (m_query.m_model.empty() && m_query.m_size.m_promptTokens == 0)
     m_attempt.m_observation.m_firstEventMs = toMillis(Latency);
 }
 
--- a/src/libgateway/gateway.cpp
+++ b/src/libgateway/gateway.cpp
@@ -244,7 +244,9 @@
   // this gateway.
   if (HasLeader && Leader == m_core.m_settings.m_vm &&
       !m_leaderClaim.claimed() && m_leaderClaim.lease() != 0 &&
-      Key->second.m_lease == m_leaderClaim.lease()) {
+      Key->second.m_lease == m_leaderClaim.lease() &&
+      Key->second.m_version.m_era == m_storeEra.era() &&
+      BootClock::now() >= m_storeEra.claimFrom()) {
     m_leaderClaim.onClaimed(LeaderSince);
     decisionlog::line(LogClass::Lifecycle, "claimed_leadership")
         .number("token", static_cast<std::int64_t>(LeaderToken))
@@ -325,8 +327,35 @@
   }
 }
 
+/// Writes the leader key, once the store's era and the lease allow it. Returns
+/// false if the claim failed and nobody is known to have the key.
+asio::awaitable<bool> Gateway::claimOnce() {
+  do {
+    co_await awaitClaimTime();
+    for (int Attempt = 0; Attempt < 20 && m_leaderClaim.lease() == 0; ++Attempt)
+      co_await sleep(Milliseconds(100));
+  } while (BootClock::now() < m_storeEra.claimFrom() && !m_core.m_stopping);
+  const std::uint64_t Lease = m_leaderClaim.lease();
+  if (!m_leaderName.empty() || Lease == 0 || m_core.m_stopping)
+    co_return false;
+  const StoreWrite Key{LeaderKey, m_core.m_settings.m_vm, Lease};
+  Result<StoreVersion> Written = co_await m_store.write(Key, true);
+  const bool Taken = !Written && Written.error().m_kind == ErrorKind::Conflict;
+  onStoreResult(Written.has_value() || Taken, "claim");
+  // The write may have been executed in a new era whose claims still wait.
+  if (!Written || Lease != m_leaderClaim.lease() ||
+      BootClock::now() < m_storeEra.claimFrom())
+    co_return Taken;
+  m_leaderClaim.onClaimed(Written.value());
+  decisionlog::line(LogClass::Lifecycle, "claimed_leadership")
+      .number("token", static_cast<std::int64_t>(
+                           primroseworks::fencingToken(Written.value())));
+  co_return true;
+}
+
 asio::awaitable<void> Gateway::claimLeadership() {
   m_claimInProgress = true;
+  co_await awaitClaimTime();
   // Random delay, so that most gateways see the new leader's key before they
   // would send a claim of their own.
   std::uniform_int_distribution<int> Jitter(0, 150);
@@ -337,26 +366,8 @@
   // largest VMs and the newest loads.
   if (m_peers.audience().isLarge() && !m_peers.audience().isCoordinator())
     co_await sleep(DependentClaimDelay);
-  do {
-    co_await awaitClaimTime();
-    for (int Attempt = 0; Attempt < 20 && m_leaderClaim.lease() == 0; ++Attempt)
-      co_await sleep(Milliseconds(100));
-  } while (BootClock::now() < m_storeEra.claimFrom() && !m_core.m_stopping);
-  if (m_leaderName.empty() && m_leaderClaim.lease() != 0 &&
-      !m_core.m_stopping) {
-    const std::uint64_t Lease = m_leaderClaim.lease();
-    const StoreWrite Key{LeaderKey, m_core.m_settings.m_vm, Lease};
-    Result<StoreVersion> Written = co_await m_store.write(Key, true);
-    onStoreResult(Written.has_value() ||
-                      Written.error().m_kind == ErrorKind::Conflict,
-                  "claim");
-    if (Written && Lease == m_leaderClaim.lease()) {
-      m_leaderClaim.onClaimed(Written.value());
-      decisionlog::line(LogClass::Lifecycle, "claimed_leadership")
-          .number("token", static_cast<std::int64_t>(
-                               primroseworks::fencingToken(Written.value())));
-    }
-  }
+  while (m_leaderName.empty() && !m_core.m_stopping && !co_await claimOnce())
+    co_await sleep(ClaimRetryInterval);
   m_claimInProgress = false;
 }
 
@@ -459,7 +470,8 @@
   decisionlog::line(LogClass::Lifecycle, "stop")
       .number("busy",
               static_cast<std::int64_t>(m_callerListener.busyConnections()));
-  if (m_leaderClaim.lease() != 0) {
+  // A lease that has ended may have been granted to another gateway again.
+  if (m_leaderClaim.leaseValid(BootClock::now())) {
     const std::uint64_t Lease = m_leaderClaim.lease();
     m_leaderClaim.onLeaseLost();
     Result<void> Ended = co_await m_store.revokeLease(Lease);
--- a/src/libgateway/gateway.h
+++ b/src/libgateway/gateway.h
@@ -55,6 +55,11 @@
 /// Connections are accepted for this long after SIGTERM. The platform checks
 /// readiness once a second and acts on the second response.
 inline constexpr Milliseconds DrainAcceptPeriod{2600};
+/// A coordinator confirms its copy of the configuration when so much of the
+/// limit is left.
+inline constexpr Milliseconds CoordinatorConfirmLeadTime{2500};
+/// Interval between claims on the leader key that failed.
+inline constexpr Milliseconds ClaimRetryInterval{500};
 /// Share of the shutdown time after which waiting requests are rejected, so
 /// that their callers can still use another VM in time.
 inline constexpr double RejectWaitingShare = 0.6;
@@ -80,6 +85,7 @@
   asio::awaitable<void> watchStore();
   asio::awaitable<Result<StoreVersion>> listStore();
   asio::awaitable<void> maintainLease();
+  asio::awaitable<bool> claimOnce();
   asio::awaitable<void> claimLeadership();
   void exportMemory();
   asio::awaitable<void> runMaintenance();
@@ -131,6 +137,10 @@
   void onAccountsApplied();
   void checkAccountsAge(BootDuration Now);
   void reportAccountsAge(BootDuration Now);
+  /// The answer to a call that was sent at SentAt showed that the copy of the
+  /// configuration is complete.
+  void confirmCopy(BootDuration SentAt);
+  Duration confirmLeadTime() const;
   asio::awaitable<void> confirmAccounts();
   asio::awaitable<bool> confirmAccountsOnce();
   void relayChanges(std::vector<StoreRelay> Relays, BootDuration SentAt,
@@ -192,8 +202,11 @@
   /// "store_copy_stale" was logged, and no confirmation followed yet.
   bool m_copyStale = false;
   std::size_t m_configurationBytes = 0; ///< Of the document in the store.
-  bool m_confirming = false;            ///< confirmAccounts() runs.
-  bool m_accountsStale = false;         ///< As last logged.
+  /// The newest configuration in the store cannot be decoded: it may have
+  /// removed keys, so nothing confirms the one in force.
+  bool m_configurationUnreadable = false;
+  bool m_confirming = false;    ///< confirmAccounts() runs.
+  bool m_accountsStale = false; ///< As last logged.
   /// Until when records that lapsed in the last outage may return.
   TimePoint m_lapsedRecordsUntil{};
   std::size_t m_unusableEntries = 0;
--- a/src/libgateway/gatewayaccounts.cpp
+++ b/src/libgateway/gatewayaccounts.cpp
@@ -69,6 +69,13 @@
       .text("also_in", T.accounts()[First.m_loser].m_name);
 }
 
+/// A coordinator confirms its copy before the gateways that depend on it would
+/// call the store themselves.
+Duration Gateway::confirmLeadTime() const {
+  return m_peers.audience().isCoordinator() ? CoordinatorConfirmLeadTime
+                                            : ConfirmLeadTime;
+}
+
 /// Reports stalls and the age of the copy, and confirms the copy before
 /// requests with keys have to be refused.
 void Gateway::checkAccountsAge(BootDuration Now) {
@@ -83,7 +90,7 @@
         .real("stall_ms", toMillis(*Stall));
   }
   reportAccountsAge(Now);
-  if (m_confirming || !Fresh.needsConfirmation(Now))
+  if (m_confirming || !Fresh.needsConfirmation(Now, confirmLeadTime()))
     return;
   m_confirming = true;
   spawnTask(
@@ -108,9 +115,15 @@
       .text("keys", m_core.m_settings.m_revokeStrict ? "refused" : "served");
 }
 
+void Gateway::confirmCopy(BootDuration SentAt) {
+  if (!m_configurationUnreadable)
+    m_core.m_copyFreshness.onConfirmed(SentAt, bootNow());
+}
+
 asio::awaitable<void> Gateway::confirmAccounts() {
   Duration Backoff = MinStoreBackoff;
-  while (m_core.m_copyFreshness.needsConfirmation(bootNow())) {
+  while (
+      m_core.m_copyFreshness.needsConfirmation(bootNow(), confirmLeadTime())) {
     if (co_await confirmAccountsOnce())
       break;
     co_await sleep(Backoff);
@@ -138,9 +151,11 @@
   // The store may return changes in parts.
   if (!Changes.value().m_changes.empty())
     co_return false;
-  m_core.m_copyFreshness.onConfirmed(SentAt, bootNow());
-  if (m_storeFollower.version() == From)
-    relayChanges({{m_core.m_settings.m_vm, From, From, {}, {}}}, SentAt, true);
+  confirmCopy(SentAt);
+  if (m_storeFollower.version() == From) {
+    StoreRelay Confirmation{m_core.m_settings.m_vm, From, From, {}, {}, true};
+    relayChanges({std::move(Confirmation)}, SentAt, true);
+  }
   co_return true;
 }
 
--- a/src/libgateway/gatewaystore.cpp
+++ b/src/libgateway/gatewaystore.cpp
@@ -149,6 +149,7 @@
 void Gateway::applyConfiguration(const StoreItem &Item) {
   Result<Configuration> Next =
       m_core.m_dialect.decodeConfiguration(Item.m_value);
+  m_configurationUnreadable = !Next;
   if (!Next) {
     m_core.m_metrics->count("configuration_unreadable");
     decisionlog::line(LogClass::Lifecycle, "configuration_unreadable")
@@ -252,7 +253,7 @@
   for (const StoreItem &Item : List.value().m_items)
     if (Item.m_key == Key)
       applyConfiguration(Item);
-  m_core.m_copyFreshness.onConfirmed(SentAt, bootNow());
+  confirmCopy(SentAt);
   List = co_await m_store.range(m_core.m_dialect.endpointPrefix());
   onStoreResult(List.has_value(), "endpoints");
   if (!List)
@@ -362,11 +363,16 @@
   // The store may return changes in parts, so only an answer without any shows
   // that the copy of the configuration is complete.
   const bool Complete = Changes.value().m_changes.empty();
-  relayChanges(makeRelays(m_core.m_settings.m_vm, From, Changes.value()),
-               BootSentAt, Complete);
   applyChanges(*New, Changes.value().m_version);
+  // A configuration with accounts has their keys, which other VMs read from the
+  // store alone.
+  const bool HasKeys =
+      m_core.m_configuration && m_core.m_configuration->m_accounts;
+  relayChanges(makeRelays(m_core.m_settings.m_vm, From, Changes.value(),
+                          HasKeys ? m_core.m_dialect.configurationKey() : ""),
+               BootSentAt, Complete);
   if (Complete)
-    m_core.m_copyFreshness.onConfirmed(BootSentAt, bootNow());
+    confirmCopy(BootSentAt);
   else
     co_await sleep(pauseBetweenWatches());
   co_return true;
@@ -402,6 +408,15 @@
   const Member *Sender = m_peers.audience().find(Relay.m_sender);
   if (!Sender || !m_peers.audience().isCoordinator(Relay.m_sender))
     return;
+  // The store has shown a newer era, and the copy is about to be read again.
+  if (Relay.m_to.m_era < m_storeEra.era())
+    return;
+  if (Relay.m_configurationOnly) {
+    if (m_storeFollower.version() == Relay.m_to && Relay.m_age &&
+        !m_configurationUnreadable)
+      m_core.m_copyFreshness.onRelayed(*Relay.m_age, bootNow());
+    return;
+  }
   const RelayFit Fit = m_storeFollower.fit(Relay);
   const std::optional<std::vector<StoreChange>> Changes =
       m_storeFollower.onRelay(Relay, clockNow());
@@ -422,7 +437,7 @@
   if (m_storeFollower.isNewerThan(Relay))
     return;
   applyChanges(*Changes, Relay.m_to);
-  if (Relay.m_age)
+  if (Relay.m_age && !m_configurationUnreadable)
     m_core.m_copyFreshness.onRelayed(*Relay.m_age, bootNow());
 }
 
--- a/src/libgateway/scheduler.cpp
+++ b/src/libgateway/scheduler.cpp
@@ -157,6 +157,8 @@
                              const AttemptObservation &Observation,
                              TimePoint Now) {
   EndpointTable &Table = m_core.m_endpoints;
+  if (!Table.pacingEnabled())
+    return;
   const std::string &Id = Request.m_choice.m_endpoint;
   const ChoiceQuery &Query = Request.m_message.m_query;
   const std::uint64_t Prompt = Query.m_size.m_promptTokens;
@@ -267,7 +269,8 @@
     std::vector<TicketId> Ended;
     for (const auto &[Ticket, R] : From->second.m_requests)
       if (Gone ||
-          (!R->granted() && (R->m_queueTicket == 0 || R->m_queuedUntil < Now)))
+          (!R->granted() && ((R->m_queueTicket == 0 && !R->m_rejected) ||
+                             R->m_queuedUntil < Now)))
         Ended.push_back(Ticket);
     for (const TicketId Ticket : Ended)
       end(From->second, Ticket, {}, Now);
--- a/src/libgateway/schedulingmessage.cpp
+++ b/src/libgateway/schedulingmessage.cpp
@@ -178,6 +178,8 @@
                           R.m_to.m_revision, std::move(Changes)});
   if (R.m_age)
     Out.push_back(R.m_age->count());
+  if (R.m_age && R.m_configurationOnly)
+    Out.push_back(true);
   return Out;
 }
 
@@ -210,6 +212,8 @@
   }
   if (In.size() > 5 && !In.at(5).is_null())
     R.m_age = decodeTime(In.at(5));
+  if (In.size() > 6)
+    In.at(6).get_to(R.m_configurationOnly);
   return R;
 }
 
--- a/src/libgateway/schedulingmessage.h
+++ b/src/libgateway/schedulingmessage.h
@@ -110,6 +110,8 @@
   /// Time since the sending of the store call whose answer showed that there
   /// are no further changes; empty if none did.
   std::optional<Milliseconds> m_age;
+  /// It confirms the configuration alone, with an age and without changes.
+  bool m_configurationOnly = false;
 };
 
 using SchedulingMessage = std::variant<ScheduleRequest, ScheduleReply,
--- a/src/libgateway/storerelay.cpp
+++ b/src/libgateway/storerelay.cpp
@@ -15,7 +15,8 @@
 
 std::vector<StoreRelay> makeRelays(const std::string &Sender,
                                    const StoreVersion &From,
-                                   const StoreChanges &Changes) {
+                                   const StoreChanges &Changes,
+                                   const std::string &Withheld) {
   std::vector<StoreRelay> Out;
   StoreRelay Next{Sender, From, From, {}, {}};
   std::size_t Bytes = 0;
@@ -24,21 +25,22 @@
     // Changes of one revision stay together.
     const StoreVersion Version = First->m_version;
     std::size_t Size = 0;
-    bool TooLarge = false;
+    bool LeftOut = false;
     auto Last = First;
     for (; Last != End && Last->m_version == Version; ++Last) {
       Size += sizeOf(*Last);
-      TooLarge = TooLarge || sizeOf(*Last) > MaxRelayedValueBytes;
+      LeftOut = LeftOut || sizeOf(*Last) > MaxRelayedValueBytes ||
+                (!Withheld.empty() && Last->m_key == Withheld);
     }
-    if (TooLarge || (Bytes + Size > MaxRelayBytes && Bytes > 0)) {
+    if (LeftOut || (Bytes + Size > MaxRelayBytes && Bytes > 0)) {
       if (!Next.m_changes.empty())
         Out.push_back(Next);
-      Next.m_from = TooLarge ? Version : Next.m_to;
+      Next.m_from = LeftOut ? Version : Next.m_to;
       Next.m_to = Next.m_from;
       Next.m_changes.clear();
       Bytes = 0;
     }
-    if (!TooLarge) {
+    if (!LeftOut) {
       Next.m_changes.insert(Next.m_changes.end(), First, Last);
       Next.m_to = Version;
       Bytes += Size;
--- a/src/libgateway/storerelay.h
+++ b/src/libgateway/storerelay.h
@@ -29,9 +29,12 @@
 /// Splits the changes after version From into relays that fit in datagrams. A
 /// change that is too large is left out, so that the receivers notice a gap and
 /// read it themselves.
+/// The same holds for a change of the key Withheld, whose value must not be
+/// sent to other VMs; empty: none.
 std::vector<StoreRelay> makeRelays(const std::string &Sender,
                                    const StoreVersion &From,
-                                   const StoreChanges &Changes);
+                                   const StoreChanges &Changes,
+                                   const std::string &Withheld = "");
 
 /// How a relay fits to the receiver's copy of the store.
 enum class RelayFit {
--- a/src/libgateway/storerelay_test.cpp
+++ b/src/libgateway/storerelay_test.cpp
@@ -200,3 +200,22 @@
   EXPECT_FALSE(F.onWatched(New));
   EXPECT_EQ(F.version(), (StoreVersion{0, 10}));
 }
+
+// Guards against API keys in datagrams: the value of a withheld key is in no
+// relay, and receivers notice the gap.
+TEST(StoreRelay, WithheldKeyIsInNoRelay) {
+  StoreChanges Changes;
+  Changes.m_changes = {{"a", "1", {0, 11}, 0},
+                       {"config", "secret", {0, 12}, 0},
+                       {"b", "2", {0, 13}, 0}};
+  Changes.m_version = {0, 13};
+  StoreFollower Follower;
+  Follower.onRead({0, 10});
+  bool Gap = false;
+  for (const StoreRelay &R : makeRelays("vm-0", {0, 10}, Changes, "config")) {
+    for (const StoreChange &C : R.m_changes)
+      EXPECT_NE(C.m_key, "config");
+    Gap = Gap || !Follower.onRelay(R, TimePoint{} + Seconds(1));
+  }
+  EXPECT_TRUE(Gap);
+}
--- a/src/primrosectl/operatorclient.cpp
+++ b/src/primrosectl/operatorclient.cpp
@@ -1,5 +1,6 @@
 // Calls of a daemon's operator port.
 #include "primrosectl/operatorclient.h"
+#include "libbase/httpstatus.h"
 
 #include <httplib.h>
 
@@ -28,9 +29,11 @@
   auto Res = Method == "GET"
                  ? Http.Get(Path, Headers)
                  : Http.Post(Path, Headers, Body, "application/json");
-  if (Res)
+  if (Res && pvt::isFinalStatus(static_cast<unsigned>(Res->status)))
     return Answer{Res->status, Res->body};
-  std::string Detail = httplib::to_string(Res.error());
+  const std::string Detail =
+      Res ? "invalid status " + std::to_string(Res->status)
+          : httplib::to_string(Res.error());
   if (Res.error() == httplib::Error::Connection ||
       Res.error() == httplib::Error::ConnectionTimeout)
     return makeError(ErrorKind::Unavailable,
