libquota: requests wait for a decision, restarted agents use their base share sooner

Change: a request that nobody can decide on is charged again, as long as it would wait for an endpoint, at most 300 at a VM. An agent that the others have counted since before its start uses its base share 1 s after the start: the promises of its earlier process have ended by then.

--- a/src/libgateway/core.h
+++ b/src/libgateway/core.h
@@ -179,7 +179,8 @@
   SchedulerClient *m_schedulerClient = nullptr;
   /// Charges the quotas of accounts; null if there are no other gateways.
   QuotaClient *m_quotas = nullptr;
-  bool m_stopping = false; ///< Callers are directed to other VMs.
+  unsigned m_undecided = 0; ///< Requests that wait for a quota decision.
+  bool m_stopping = false;  ///< Callers are directed to other VMs.
   /// While it stops: when requests that are still in progress are ended.
   TimePoint m_requestsEndAt = TimePoint::max();
   bool m_closing = false; ///< Connections close after their current request.
--- a/src/libgateway/exchange.h
+++ b/src/libgateway/exchange.h
@@ -54,6 +54,7 @@
   unsigned rank() const;
   bool forwardsHeader(const HttpHeader &Header) const;
   asio::awaitable<bool> rejectKey(KeyVerdict Verdict);
+  asio::awaitable<void> chargeUntilDecided(quota::Amount Cost);
   asio::awaitable<bool> chargeQuota();
   void settleQuota();
   asio::awaitable<bool> finishAfterAttempt(AttemptOutcome Outcome);
--- a/src/libgateway/quotaservice.h
+++ b/src/libgateway/quotaservice.h
@@ -78,6 +78,7 @@
   std::string m_self;
   std::shared_ptr<const quota::QuotaLimits> m_limits;
   quota::AgentList m_agents;
+  bool m_recordSeen = false; ///< A record of the agents was read.
   std::unique_ptr<quota::QuotaAgent> m_agent; ///< Null before setStart().
   std::unique_ptr<quota::QuotaOwner> m_owner; ///< Null before it first led.
   std::function<void(const quota::QuotaReply &)> m_onReply;
--- a/src/libquota/quotaagent.cpp
+++ b/src/libquota/quotaagent.cpp
@@ -93,7 +93,7 @@
                                               BootTime Now) {
   countAgents(List, Now);
   const BootTime Since =
-      std::max({m_promisedUntil, m_startedAt + JoinDelay, m_baseChangedAt});
+      std::max({m_promisedUntil, m_startedAt + m_joinDelay, m_baseChangedAt});
   if (!List.known() || !m_listConfirmedAt || Now < Since ||
       Now - *m_listConfirmedAt >= BaseShareLimit)
     return std::nullopt;
--- a/src/libquota/quotaagent.h
+++ b/src/libquota/quotaagent.h
@@ -39,6 +39,9 @@
 /// An agent uses no base share this soon after its start: the others must know
 /// it, and promises of an earlier process of its VM must have ended.
 inline constexpr Milliseconds JoinDelay{5000};
+/// The same for an agent that the others have counted since before its start,
+/// as after a restart: promises of the earlier process must have ended.
+inline constexpr Milliseconds RejoinDelay = PromisePeriod + Milliseconds(300);
 /// Retry-After of a request that no agent could decide on.
 inline constexpr Milliseconds UndecidedRetry{200};
 /// Maximum number of accounts in one request to the owner, so that it fits in a
@@ -50,6 +53,8 @@
   /// Start identifies the process of this VM.
   QuotaAgent(std::string Name, std::uint64_t Start, QuotaBounds Bounds,
              BootTime Now);
+  /// The others counted this VM as an agent before the process started.
+  void onRejoined() { m_joinDelay = RejoinDelay; }
   /// The store confirmed the list of agents with a call sent at SentAt.
   void onListConfirmed(BootTime SentAt);
   /// Returns the answer to a VM's request. More may follow if it is Waiting.
@@ -134,6 +139,7 @@
   std::uint64_t m_start;
   QuotaBounds m_bounds;
   BootTime m_startedAt;
+  Duration m_joinDelay = JoinDelay;
   std::optional<BootTime> m_listConfirmedAt;
   BootTime m_promisedUntil{};
   /// Of the owner's newest answer.
