gateway: a gateway that starts asks its peers before it is ready

A restarted VM knew neither the requests that its peers refuse nor their loads, and it had its whole retry budget again. The decision is WarmStart in src/libwarmstart.

Answers hold all strikes, also those that the peer only heard of, which reports do not repeat.

--- a/src/include/primroseworks/partsuspects.h
+++ b/src/include/primroseworks/partsuspects.h
@@ -78,6 +78,8 @@
   /// The strikes of parts that are refused, for peers that start later: of
   /// those that were struck or met here.
   std::vector<PartStrike> repeats(TimePoint Now);
+  /// All strikes, those of refused parts first, for a peer that starts.
+  std::vector<PartStrike> all(TimePoint Now) const;
   /// A request with the part was refused here.
   void onRefused(std::uint64_t Part);
 
--- a/src/include/primroseworks/suspects.h
+++ b/src/include/primroseworks/suspects.h
@@ -103,6 +103,8 @@
   /// alone, or is refused on a strike seen or met here within m_refusalRepeat:
   /// peers learn that it still competes, and get what a broken link lost.
   std::vector<std::pair<std::uint64_t, std::uint64_t>> repeats(TimePoint Now);
+  /// All strikes, those of refused fingerprints first, for a peer that starts.
+  std::vector<std::pair<std::uint64_t, std::uint64_t>> all(TimePoint Now);
 
   unsigned strikes(std::uint64_t Fingerprint, TimePoint Now);
   /// Strikes from crashes that no fingerprint with more strikes explains.
--- a/src/libadmission/partsuspects.cpp
+++ b/src/libadmission/partsuspects.cpp
@@ -172,6 +172,18 @@
   return Out;
 }
 
+std::vector<PartStrike> PartSuspects::all(TimePoint Now) const {
+  std::vector<PartStrike> Out;
+  for (const bool Refused : {true, false})
+    for (const auto &[Part, E] : m_entries)
+      if (!E.m_requests.empty() && refused(Part, Now) == Refused)
+        for (std::size_t I = 0; I < E.m_crashes.size(); ++I)
+          Out.push_back({Part, E.m_crashes[I],
+                         E.m_requests[I % E.m_requests.size()],
+                         E.m_lastStrike});
+  return Out;
+}
+
 void PartSuspects::onRefused(std::uint64_t Part) {
   const auto It = m_entries.find(Part);
   if (It != m_entries.end())
--- a/src/libadmission/suspects.cpp
+++ b/src/libadmission/suspects.cpp
@@ -143,6 +143,17 @@
   return Out;
 }
 
+std::vector<std::pair<std::uint64_t, std::uint64_t>>
+CrashSuspects::all(TimePoint Now) {
+  std::vector<std::pair<std::uint64_t, std::uint64_t>> Out;
+  for (const bool Refused : {true, false})
+    for (const auto &[Fingerprint, E] : m_entries)
+      if (isRefused(E, Now) == Refused)
+        for (std::uint64_t Crash : E.m_crashes)
+          Out.emplace_back(Fingerprint, Crash);
+  return Out;
+}
+
 void CrashSuspects::expire(TimePoint Now) {
   if (Now < m_nextExpiry)
     return;
--- a/src/libgateway/core.cpp
+++ b/src/libgateway/core.cpp
@@ -28,6 +28,9 @@
            CrashSuspects Suspects)
     : m_io(Io), m_settings(std::move(Options)), m_dialect(Platform),
       m_metrics(Metrics::create()),
+      m_warmStart(
+          WarmStart::create({m_settings.m_askPeers, m_settings.m_bootstrap})
+              .value()),
       // parseSettings() has checked the limits.
       m_copyFreshness(CopyFreshness::create(
                           {m_settings.m_revokeLimit, m_settings.m_revokeStrict})
@@ -427,7 +430,23 @@
 }
 
 RetryWindow &Core::retries(const std::string &Service) {
-  return m_retries.try_emplace(Service, m_settings.m_retries).first->second;
+  const auto [It, New] = m_retries.try_emplace(Service, m_settings.m_retries);
+  if (New)
+    startRetries(Service, It->second);
+  return It->second;
+}
+
+/// Retries that the former process may have made count for one window from the
+/// question on, since an answer is the use at that time.
+void Core::startRetries(const std::string &Service, RetryWindow &Window) const {
+  if (m_warmStart.state() != WarmStartState::Off)
+    Window.setInitialUse(m_warmStart.retryUse(Service),
+                         std::max(m_startedAt, m_warmStart.askedAt()));
+}
+
+void Core::onStartChanged() {
+  for (auto &[Service, Window] : m_retries)
+    startRetries(Service, Window);
 }
 
 } // namespace primroseworks::gateway
--- a/src/libgateway/core.h
+++ b/src/libgateway/core.h
@@ -16,6 +16,7 @@
 #include "libgateway/retrywindow.h"
 #include "libgateway/settings.h"
 #include "libgateway/waitqueue.h"
+#include "libwarmstart/warmstart.h"
 #include "primroseworks/suspects.h"
 
 #include <functional>
@@ -145,6 +146,11 @@
   /// wait.
   void rejectWaiting();
   RetryWindow &retries(const std::string &Service);
+  const std::map<std::string, RetryWindow> &retryWindows() const {
+    return m_retries;
+  }
+  /// m_warmStart may have changed the use with which retry windows start.
+  void onStartChanged();
 
   asio::io_context &m_io;
   const Settings m_settings;
@@ -157,6 +163,7 @@
   /// When a list, a watch or a relay last showed that the copies of the
   /// configuration and the endpoints are complete.
   TimePoint m_copyConfirmedAt{};
+  WarmStart m_warmStart;
   CopyFreshness m_copyFreshness; ///< Of m_configuration, for its accounts.
   EndpointTable m_endpoints;
   Chooser m_chooser;
@@ -190,6 +197,7 @@
   std::mt19937_64 m_random;
 
 private:
+  void startRetries(const std::string &Service, RetryWindow &Window) const;
   void strike(const FoundEnd &End, EndEvidence Evidence, TimePoint Now);
   void strikeParts(const FoundEnd &End, const BrokenRequest &Request,
                    std::uint64_t Crash, TimePoint Now);
--- a/src/libgateway/gateway.cpp
+++ b/src/libgateway/gateway.cpp
@@ -3,6 +3,7 @@
 #include "libgateway/gateway.h"
 #include "libbase/limitedjson.h"
 #include "libgateway/log.h"
+#include "libgateway/startexchange.h"
 #include "primroseworks/version.h"
 
 #include <asio/redirect_error.hpp>
@@ -134,7 +135,7 @@
 
 bool Gateway::isReady() const {
   return !m_core.m_stopping && m_core.m_configuration &&
-         m_core.m_endpointsKnown;
+         m_core.m_endpointsKnown && m_core.m_warmStart.ready(clockNow());
 }
 
 void Gateway::onMessage(const SchedulingMessage &Message) {
@@ -211,6 +212,30 @@
         [this] { m_claimInProgress = false; });
 }
 
+/// Asks the peers for what a gateway must know before it is ready.
+void Gateway::onPeersKnown() {
+  if (!m_core.m_warmStart.needsPeers())
+    return;
+  m_core.m_warmStart.onPeersKnown(m_peers.startPeers().size(), clockNow());
+  m_core.onStartChanged();
+  if (m_core.m_warmStart.asking(clockNow()))
+    spawnTask(m_io, *m_core.m_metrics, "start", [this] { return askPeers(); });
+  else
+    logStartDecision(m_core);
+}
+
+asio::awaitable<void> Gateway::askPeers() {
+  while (m_core.m_warmStart.asking(clockNow())) {
+    m_peers.sendStartQuery();
+    co_await sleep(std::min<Duration>(
+        StartQueryInterval, m_core.m_warmStart.deadline() - clockNow()));
+  }
+  if (m_core.m_warmStart.state() != WarmStartState::Asking)
+    co_return; // An answer decided.
+  m_core.m_warmStart.onTime(clockNow());
+  logStartDecision(m_core);
+}
+
 /// Obtains and renews the lease, and writes this gateway's member key under it.
 asio::awaitable<void> Gateway::maintainLease() {
   while (!m_core.m_stopping) {
--- a/src/libgateway/gateway.h
+++ b/src/libgateway/gateway.h
@@ -74,6 +74,8 @@
 private:
   asio::awaitable<void> watchStore();
   asio::awaitable<Result<StoreVersion>> listStore();
+  void onPeersKnown();
+  asio::awaitable<void> askPeers();
   asio::awaitable<void> maintainLease();
   asio::awaitable<void> claimLeadership();
   void exportMemory();
--- a/src/libgateway/gatewaystore.cpp
+++ b/src/libgateway/gatewaystore.cpp
@@ -271,6 +271,7 @@
   for (const StoreItem &Item : List.value().m_items)
     m_gatewayItems[Item.m_key] = Item;
   applyGateways(List.value().m_version);
+  onPeersKnown();
   co_return Version;
 }
 
--- a/src/libgateway/peerreport.cpp
+++ b/src/libgateway/peerreport.cpp
@@ -11,6 +11,9 @@
 
 using Json = nlohmann::json;
 
+/// Units of a used share of 1 in reports.
+constexpr double RetryUseUnits = 1000;
+
 unsigned decodeCount(const Json &Value) {
   return pvt::unsignedNumber<unsigned>(Value);
 }
@@ -110,6 +113,13 @@
     for (const PeerOverrun &O : R.m_overruns)
       Overruns.push_back(Json::array({O.m_endpoint, O.m_incarnation}));
   }
+  if (R.m_answerTo != 0) {
+    Out["a"] = R.m_answerTo;
+    Json &Uses = Out["r"] = Json::array();
+    for (const auto &[Service, Use] : R.m_retryUses)
+      Uses.push_back(Json::array(
+          {Service, static_cast<unsigned>(Use * RetryUseUnits + 0.5)}));
+  }
   return Out;
 }
 
@@ -146,6 +156,10 @@
   for (const Json &Row : In.value("o", Json::array()))
     R.m_overruns.push_back(
         {Row.at(0).get<std::string>(), decodeNumber(Row.at(1))});
+  R.m_answerTo = pvt::unsignedMember(In, "a", std::uint64_t{0});
+  for (const Json &Row : In.value("r", Json::array()))
+    R.m_retryUses[Row.at(0).get<std::string>()] =
+        std::min(decodeAmount(Row.at(1)) / RetryUseUnits, 1.0);
   return R;
 }
 
--- a/src/libgateway/peerreport.h
+++ b/src/libgateway/peerreport.h
@@ -7,6 +7,7 @@
 
 #include "libgateway/endpoints.h"
 #include "libgateway/placement.h"
+#include "libwarmstart/warmstart.h"
 #include "primroseworks/error.h"
 
 #include <algorithm>
@@ -77,6 +78,10 @@
   std::vector<PeerStrike> m_strikes;
   std::vector<PeerPartStrike> m_partStrikes;
   std::vector<PeerOverrun> m_overruns; ///< Seen by the sender recently.
+  /// Start of the gateway whose StartQuery this report answers; 0: none.
+  std::uint64_t m_answerTo = 0;
+  /// In an answer: used share of the sender's retry budget, by service.
+  RetryUses m_retryUses;
 };
 
 /// Minimum interval between two reports of one gateway.
--- a/src/libgateway/peers.cpp
+++ b/src/libgateway/peers.cpp
@@ -1,6 +1,7 @@
 // Sending and applying of the reports between gateways.
 #include "libgateway/peers.h"
 #include "libgateway/log.h"
+#include "libgateway/startexchange.h"
 
 #include <algorithm>
 #include <asio/redirect_error.hpp>
@@ -376,7 +377,60 @@
         .text("error", Report.error().m_message);
     return;
   }
-  apply(Report.value(), std::chrono::steady_clock::now());
+  const TimePoint Now = std::chrono::steady_clock::now();
+  apply(Report.value(), Now);
+  if (Report.value().m_answerTo == m_start)
+    onStartAnswer(Report.value(), Now);
+}
+
+std::vector<const Member *> Peers::startPeers() const {
+  std::vector<const Member *> Out;
+  for (const Member &M : m_audience.members())
+    if (!m_audience.isLarge() || m_audience.isCoordinator(M.m_name))
+      Out.push_back(&M);
+  return Out;
+}
+
+void Peers::sendStartQuery() {
+  const Settings &S = m_core.m_settings;
+  const std::string Bytes =
+      encodeSchedulingMessage(StartQuery{{S.m_vm, m_start}, S.m_failureDomain});
+  for (const Member *M : startPeers())
+    sendBytes(Bytes, *M);
+}
+
+/// Answers a gateway that starts. It is known by its address: its member key
+/// may not have been written yet.
+void Peers::answerStart(const StartQuery &Query, const std::string &From) {
+  const TimePoint Now = std::chrono::steady_clock::now();
+  if (!mayAnswerStart(m_core, Now)) {
+    m_core.m_metrics->count("start_query_unanswered");
+    return;
+  }
+  PeerReport Report = emptyReport(0);
+  Report.m_partial = true;
+  const bool Depends = m_audience.isCoordinator() &&
+                       !m_audience.isCoordinator(Query.m_sender.m_name) &&
+                       Query.m_domain == m_core.m_settings.m_failureDomain;
+  addStartState(Report, m_core, Query, Depends, Now);
+  m_suspects.addAll(Report, Now);
+  m_core.m_metrics->count("start_query_answered");
+  decisionlog::line(LogClass::KnownState, "start_query_answered")
+      .text("gateway", Query.m_sender.m_name)
+      .number("strikes", static_cast<std::int64_t>(Report.m_strikes.size() +
+                                                   Report.m_partStrikes.size()))
+      .number("loads", static_cast<std::int64_t>(Report.m_loads.size() +
+                                                 Report.m_fleetLoads.size()));
+  sendBytes(encodePeerReport(Report), {Query.m_sender.m_name, From, "", 1});
+}
+
+void Peers::onStartAnswer(const PeerReport &Report, TimePoint Now) {
+  const bool Decides = m_core.m_warmStart.asking(Now);
+  if (!m_core.m_warmStart.onAnswer(Report.m_sender, Report.m_retryUses, Now))
+    return;
+  m_core.onStartChanged();
+  if (Decides)
+    logStartDecision(m_core);
 }
 
 void Peers::onMessageBytes(const std::string &Bytes, const std::string &From) {
@@ -388,7 +442,9 @@
         .text("error", Message.error().m_message);
     return;
   }
-  if (m_onMessage)
+  if (const auto *Query = std::get_if<StartQuery>(&Message.value()))
+    answerStart(*Query, From);
+  else if (m_onMessage)
     m_onMessage(std::move(Message.value()));
 }
 
--- a/src/libgateway/peers.h
+++ b/src/libgateway/peers.h
@@ -60,6 +60,10 @@
   void sendStrikes(TimePoint Now);
   /// Sends a message to a gateway; does nothing if it is unknown.
   void sendMessage(const std::string &Name, const SchedulingMessage &Message);
+  /// The peers that this gateway asks when it starts: the coordinators of a
+  /// large fleet, all other gateways of a small one.
+  std::vector<const Member *> startPeers() const;
+  void sendStartQuery();
   /// Sends store changes to the gateways that depend on this coordinator.
   void relay(const StoreRelay &Message);
   const PeerAudience &audience() const { return m_audience; }
@@ -92,6 +96,8 @@
   void applyFleetLoads(const PeerReport &Report, TimePoint Now);
   void onReportBytes(const std::string &Bytes, const std::string &From);
   void onMessageBytes(const std::string &Bytes, const std::string &From);
+  void answerStart(const StartQuery &Query, const std::string &From);
+  void onStartAnswer(const PeerReport &Report, TimePoint Now);
   PeerReport emptyReport(std::uint64_t LeaderToken);
   PeerHolding holding(const Endpoint &E) const;
   void repeatSuspects(TimePoint Now);
--- a/src/libgateway/retrywindow.cpp
+++ b/src/libgateway/retrywindow.cpp
@@ -21,23 +21,41 @@
 
 void RetryWindow::onRequest(TimePoint Now) { ++bucket(Now).m_requests; }
 
-bool RetryWindow::allows(RetryUse Use, unsigned Members, TimePoint Now) const {
+RetryWindow::Counts RetryWindow::counts(unsigned Members, TimePoint Now) const {
   const std::int64_t Newest = bucketIndex(Now);
+  const double Extra = m_limit.m_extra / std::max(1U, Members);
   double Requests = 0;
-  double Retries = 0;
+  Counts Out;
   for (const Bucket &B : m_buckets) {
     if (B.m_index < 0 ||
         B.m_index + static_cast<std::int64_t>(BucketsPerWindow) < Newest)
       continue;
     Requests += B.m_requests;
-    Retries += B.m_retries;
+    Out.m_retries += B.m_retries;
   }
-  double Allowed =
-      UsableRetryLimitShare *
-      (m_limit.m_share * Requests + m_limit.m_extra / std::max(1U, Members));
+  if (m_initialIndex >= 0 &&
+      m_initialIndex + static_cast<std::int64_t>(BucketsPerWindow) >= Newest)
+    Out.m_retries += m_initialUse * Extra;
+  Out.m_limit = m_limit.m_share * Requests + Extra;
+  return Out;
+}
+
+bool RetryWindow::allows(RetryUse Use, unsigned Members, TimePoint Now) const {
+  const Counts C = counts(Members, Now);
+  double Allowed = UsableRetryLimitShare * C.m_limit;
   if (Use == RetryUse::Spare)
     Allowed *= SpareRetryShare;
-  return Retries + 1 <= Allowed;
+  return C.m_retries + 1 <= Allowed;
+}
+
+void RetryWindow::setInitialUse(double Share, TimePoint At) {
+  m_initialUse = std::clamp(Share, 0.0, 1.0);
+  m_initialIndex = bucketIndex(At);
+}
+
+double RetryWindow::used(unsigned Members, TimePoint Now) const {
+  const Counts C = counts(Members, Now);
+  return C.m_limit > 0 ? std::min(1.0, C.m_retries / C.m_limit) : 0;
 }
 
 bool RetryWindow::tryAcquire(RetryUse Use, unsigned Members, TimePoint Now) {
--- a/src/libgateway/retrywindow.h
+++ b/src/libgateway/retrywindow.h
@@ -1,6 +1,9 @@
 // Retry limit of one service over a sliding window: this VM's share of a limit
 // for all VMs together.
 //
+// A restarted VM does not know its retries before the restart, so a part of the
+// limit may be set as used at the start (libwarmstart).
+//
 // Load pattern: an engine is lost or fails part of its requests at peak load,
 // and every request that fails there is retried at another endpoint at the same
 // moment.
@@ -46,6 +49,11 @@
   /// Counts one retry and returns true if the limit allows it. Members is the
   /// number of VMs that share m_extra.
   bool tryAcquire(RetryUse Use, unsigned Members, TimePoint Now);
+  /// Counts a share of this VM's part of m_extra, from 0 to 1, as used for one
+  /// window from At on. Replaces what an earlier call set.
+  void setInitialUse(double Share, TimePoint At);
+  /// Used share of the whole limit, from 0 to 1, not only of its usable part.
+  double used(unsigned Members, TimePoint Now) const;
 
 private:
   static constexpr std::size_t BucketsPerWindow = 20;
@@ -54,11 +62,18 @@
     unsigned m_requests = 0;
     unsigned m_retries = 0;
   };
+  struct Counts {
+    double m_limit = 0; ///< Retries that the whole limit allows this VM.
+    double m_retries = 0;
+  };
+  Counts counts(unsigned Members, TimePoint Now) const;
   Bucket &bucket(TimePoint Now);
   std::int64_t bucketIndex(TimePoint Now) const;
 
   RetryLimit m_limit;
   std::array<Bucket, BucketsPerWindow + 1> m_buckets;
+  double m_initialUse = 0;          ///< Share of this VM's part of m_extra.
+  std::int64_t m_initialIndex = -1; ///< Bucket of its time; -1: none was set.
 };
 
 } // namespace primroseworks::gateway
--- a/src/libgateway/retrywindow_test.cpp
+++ b/src/libgateway/retrywindow_test.cpp
@@ -74,3 +74,24 @@
   EXPECT_EQ(Needed, 29U);
   EXPECT_FALSE(Vm.tryAcquire(RetryUse::Spare, 1, Now));
 }
+
+// Guards against a VM that uses the budget of one window again after a restart:
+// at most 0.75 of it before and 0.25 after.
+TEST(RetryWindow, StartsAsFullAsSet) {
+  const TimePoint Now = TimePoint() + Seconds(1000);
+  const auto Retries = [](RetryWindow &Vm, TimePoint At) {
+    unsigned Count = 0;
+    while (Vm.tryAcquire(RetryUse::Needed, 1, At))
+      ++Count;
+    return Count;
+  };
+  RetryWindow Before(limit());
+  EXPECT_EQ(Retries(Before, Now), 43U);
+  EXPECT_NEAR(Before.used(1, Now), 43.0 / 58, 1e-9);
+  RetryWindow After(limit());
+  After.setInitialUse(0.5, Now);
+  EXPECT_DOUBLE_EQ(After.used(1, Now), 0.5);
+  EXPECT_FALSE(After.allows(RetryUse::Spare, 1, Now));
+  EXPECT_EQ(Retries(After, Now), 14U);
+  EXPECT_EQ(Retries(After, Now + Seconds(11)), 43U) << "the window has passed";
+}
--- a/src/libgateway/schedulingmessage.cpp
+++ b/src/libgateway/schedulingmessage.cpp
@@ -14,7 +14,15 @@
 
 using Json = nlohmann::json;
 
-enum class MessageKind { Request, Reply, Update, OpenTickets, StoreRelay };
+/// The numbers are part of the messages.
+enum class MessageKind {
+  Request,
+  Reply,
+  Update,
+  OpenTickets,
+  StoreRelay,
+  StartQuery = 16
+};
 
 /// Major type of a CBOR array, in the upper three bits of the first byte.
 constexpr unsigned char CborArrayType = 4;
@@ -213,6 +221,15 @@
   return R;
 }
 
+Json encode(const StartQuery &Q) {
+  return Json::array({encodeEnum(MessageKind::StartQuery), Q.m_sender.m_name,
+                      Q.m_sender.m_start, Q.m_domain});
+}
+
+StartQuery decodeStartQuery(const Json &In) {
+  return {decodeInstance(In.at(1), In.at(2)), In.at(3).get<std::string>()};
+}
+
 SchedulingMessage decode(const Json &In) {
   switch (static_cast<MessageKind>(In.at(0).get<unsigned>())) {
   case MessageKind::Request:
@@ -225,6 +242,8 @@
     return decodeOpenTickets(In);
   case MessageKind::StoreRelay:
     return decodeStoreRelay(In);
+  case MessageKind::StartQuery:
+    return decodeStartQuery(In);
   }
   throw std::out_of_range("unknown kind of message");
 }
--- a/src/libgateway/schedulingmessage.h
+++ b/src/libgateway/schedulingmessage.h
@@ -112,8 +112,16 @@
   std::optional<Milliseconds> m_age;
 };
 
-using SchedulingMessage = std::variant<ScheduleRequest, ScheduleReply,
-                                       AttemptUpdate, OpenTickets, StoreRelay>;
+/// Asks a gateway for what one that starts needs. The answer is a peer report
+/// that names m_sender.m_start.
+struct StartQuery {
+  GatewayInstance m_sender;
+  std::string m_domain; ///< Failure domain of the sender.
+};
+
+using SchedulingMessage =
+    std::variant<ScheduleRequest, ScheduleReply, AttemptUpdate, OpenTickets,
+                 StoreRelay, StartQuery>;
 
 /// Maximum size of a relayed change; gateways read larger ones themselves.
 inline constexpr std::size_t MaxRelayedValueBytes = 12'000;
--- a/src/libgateway/schedulingmessage_test.cpp
+++ b/src/libgateway/schedulingmessage_test.cpp
@@ -188,3 +188,10 @@
     (void)decodeSchedulingMessage(Damaged);
   }
 }
+
+TEST(SchedulingMessage, StartQueryKeepsItsFields) {
+  const StartQuery D = roundTrip(StartQuery{{"vm-1", 1765000000000}, "d1"});
+  EXPECT_EQ(D.m_sender.m_name, "vm-1");
+  EXPECT_EQ(D.m_sender.m_start, 1765000000000U);
+  EXPECT_EQ(D.m_domain, "d1");
+}
--- a/src/libgateway/settings.cpp
+++ b/src/libgateway/settings.cpp
@@ -144,6 +144,16 @@
        [](const S &O) -> std::string {
          return O.m_adaptivePace ? "true" : "false";
        }},
+      {"start.ask-peers", SettingType::Flag, "true or false", 0, 0,
+       [](S &O, Str, double V) { O.m_askPeers = V != 0; },
+       [](const S &O) -> std::string {
+         return O.m_askPeers ? "true" : "false";
+       }},
+      {"start.bootstrap", SettingType::Flag, "true or false", 0, 0,
+       [](S &O, Str, double V) { O.m_bootstrap = V != 0; },
+       [](const S &O) -> std::string {
+         return O.m_bootstrap ? "true" : "false";
+       }},
       {"accounts.revoke-limit-ms", SettingType::Number, "ms, 0: no limit", 0,
        600000,
        [](S &O, Str, double V) {
@@ -166,7 +176,7 @@
          Key == "store.lease-ms" || Key == "store.drain-limit-ms" ||
          Key == "store.configuration-limit-ms" || Key == "stop.limit-s" ||
          Key == "endpoints.adaptive-pace" || Key.rfind("retries.", 0) == 0 ||
-         Key.rfind("accounts.", 0) == 0;
+         Key.rfind("accounts.", 0) == 0 || Key.rfind("start.", 0) == 0;
 }
 
 Result<void> readOne(const YAML::Node &Root, const SettingSpec &Spec,
--- a/src/libgateway/settings.h
+++ b/src/libgateway/settings.h
@@ -35,6 +35,8 @@
   bool m_revokeStrict = false;
   unsigned m_descriptors = 1024; ///< Maximum number of open files and sockets.
   bool m_adaptivePace = false; ///< Endpoints have adaptive concurrency limits.
+  bool m_askPeers = false;     ///< Peers are asked before this VM is ready.
+  bool m_bootstrap = false;    ///< The whole system starts for the first time.
   double m_cpuShare = 1;       ///< Cores that this VM may use.
   /// Memory that this process may use; 0: what it can read of its VM.
   std::size_t m_memoryBytes = 0;
--- a/src/libgateway/settings_test.cpp
+++ b/src/libgateway/settings_test.cpp
@@ -43,6 +43,13 @@
   EXPECT_TRUE(parseSettings(Good + "endpoints:\n  adaptive-pace: true\n")
                   .value()
                   .m_adaptivePace);
+  EXPECT_FALSE(S.value().m_askPeers);
+  EXPECT_FALSE(S.value().m_bootstrap);
+  const Settings Asking =
+      parseSettings(Good + "start:\n  ask-peers: true\n  bootstrap: true\n")
+          .value();
+  EXPECT_TRUE(Asking.m_askPeers);
+  EXPECT_TRUE(Asking.m_bootstrap);
   bool Default = false;
   for (const SettingRow &Row : describeSettings(Good, S.value()))
     if (Row.m_key == "stop.limit-s")
@@ -57,6 +64,7 @@
       {with("  port: 7380\n", "  port: many\n"), "peers.port"},
       {with("  name: \"vm-1\"\n", ""), "vm.name"},
       {Good + "endpoints:\n  adaptive-pace: 2\n", "endpoints.adaptive-pace"},
+      {Good + "start:\n  ask-peers: maybe\n", "start.ask-peers"},
       {with("\"10.9.0.1:8142\"", "\"10.9.0.1\""), "store.address"},
       {with("failure-domain: \"d1\"", "failure-domain: \"d7\""),
        "failure-domains"},
--- a/src/libgateway/suspectexchange.cpp
+++ b/src/libgateway/suspectexchange.cpp
@@ -74,6 +74,15 @@
   return !Report.m_strikes.empty() || !Report.m_partStrikes.empty();
 }
 
+void SuspectExchange::addAll(PeerReport &Report, TimePoint Now) {
+  for (const auto &[Fingerprint, Crash] : m_core.m_suspects.all(Now))
+    if (Report.m_strikes.size() < RecentStrikesMax)
+      Report.m_strikes.push_back({Fingerprint, Crash});
+  for (const PartStrike &S : m_core.m_suspects.parts().all(Now))
+    if (Report.m_partStrikes.size() < RecentStrikesMax)
+      Report.m_partStrikes.push_back(encode(S, Now));
+}
+
 /// Returns whether the strike or clearance was new.
 bool SuspectExchange::applyStrike(const PeerStrike &S, bool PassOn,
                                   TimePoint Now) {
--- a/src/libgateway/suspectexchange.h
+++ b/src/libgateway/suspectexchange.h
@@ -88,6 +88,9 @@
   /// Adds, once per SuspectRepeatInterval, the strikes of suspects that compete
   /// or are refused. Returns whether there are any.
   bool addRepeats(PeerReport &Report, TimePoint Now);
+  /// Adds all strikes for a gateway that starts, RecentStrikesMax of each sort
+  /// at most.
+  void addAll(PeerReport &Report, TimePoint Now);
   /// Applies what a peer told. Adds what was new to News; PassOn: it is to be
   /// repeated for dependents.
   void apply(const PeerReport &Report, bool PassOn, PeerReport &News,
