--- a/src/libgateway/peerreport.cpp
+++ b/src/libgateway/peerreport.cpp
@@ -3,6 +3,7 @@
 #include "libbase/jsonnumber.h"
 #include "libbase/limitedjson.h"
 
+#include <cmath>
 #include <nlohmann/json.hpp>
 
 namespace primroseworks::gateway {
@@ -117,8 +118,7 @@
     Out["a"] = R.m_answerTo;
     Json &Uses = Out["r"] = Json::array();
     for (const auto &[Service, Use] : R.m_retryUses)
-      Uses.push_back(Json::array(
-          {Service, static_cast<unsigned>(Use * RetryUseUnits + 0.5)}));
+      Uses.push_back(Json::array({Service, std::lround(Use * RetryUseUnits)}));
   }
   return Out;
 }
--- a/src/libgateway/peers.cpp
+++ b/src/libgateway/peers.cpp
@@ -321,11 +321,11 @@
     sendTo(News, m_audience.dependents());
 }
 
-void Peers::apply(const PeerReport &Report, TimePoint Now) {
+bool Peers::apply(const PeerReport &Report, TimePoint Now) {
   ReportPosition &P = m_reportPositions[Report.m_sender];
   if (Report.m_start < P.m_start ||
       (Report.m_start == P.m_start && Report.m_sequence <= P.m_sequence))
-    return;
+    return false;
   P = ReportPosition{Report.m_start, Report.m_sequence};
   if (Report.m_leaderToken > m_leaderToken)
     setLeader(Report.m_sender, Report.m_leaderToken);
@@ -346,6 +346,7 @@
   }
   if (!Report.m_wantedAdapters.empty() && m_onPeerAdapterWanted)
     m_onPeerAdapterWanted();
+  return true;
 }
 
 asio::awaitable<void> Peers::receive() {
@@ -378,8 +379,7 @@
     return;
   }
   const TimePoint Now = std::chrono::steady_clock::now();
-  apply(Report.value(), Now);
-  if (Report.value().m_answerTo == m_start)
+  if (apply(Report.value(), Now) && Report.value().m_answerTo == m_start)
     onStartAnswer(Report.value(), Now);
 }
 
--- a/src/libgateway/peers.h
+++ b/src/libgateway/peers.h
@@ -89,7 +89,8 @@
 private:
   std::size_t indexAmong(const std::vector<Member> &Members) const;
   PeerReport localReport(std::uint64_t LeaderToken, TimePoint Now);
-  void apply(const PeerReport &Report, TimePoint Now);
+  /// Returns false for a report that a newer one of its sender has replaced.
+  bool apply(const PeerReport &Report, TimePoint Now);
   void onLoadChanged(const std::string &Endpoint);
   void sendChangedLoads();
   void applyLoads(const PeerReport &Report, TimePoint Now);
