--- a/src/libgateway/gateway.h
+++ b/src/libgateway/gateway.h
@@ -84,6 +84,8 @@
 private:
   asio::awaitable<void> watchStore();
   asio::awaitable<Result<StoreVersion>> listStore();
+  void onPeersKnown();
+  asio::awaitable<void> askPeers();
   asio::awaitable<void> maintainLease();
   asio::awaitable<bool> claimOnce();
   asio::awaitable<void> claimLeadership();
--- a/src/libgateway/peers.h
+++ b/src/libgateway/peers.h
@@ -68,6 +68,10 @@
   }
   /// Name of the leader that was named last; empty if there is none.
   const std::string &leader() const { return m_leader; }
+  /// The peers that this gateway asks when it starts: the coordinators of a
+  /// large fleet, all other gateways of a small one.
+  std::vector<const Member *> startPeers() const;
+  void sendStartQuery();
   /// Sends store changes to the gateways that depend on this coordinator.
   void relay(const StoreRelay &Message);
   const PeerAudience &audience() const { return m_audience; }
@@ -93,7 +97,8 @@
 private:
   std::size_t indexAmong(const std::vector<Member> &Members) const;
   PeerReport localReport(std::uint64_t LeaderToken, TimePoint Now);
-  void apply(const PeerReport &Report, TimePoint Now);
+  /// Returns false for a report that a newer one of its sender has replaced.
+  bool apply(const PeerReport &Report, TimePoint Now);
   void onLoadChanged(const std::string &Endpoint);
   void sendChangedLoads();
   void applyLoads(const PeerReport &Report, TimePoint Now);
@@ -101,6 +106,8 @@
   void onReportBytes(const std::string &Bytes, const std::string &From);
   void onMessageBytes(const std::string &Bytes, const std::string &From);
   void onQuotaBytes(const std::string &Bytes, const std::string &From);
+  void answerStart(const StartQuery &Query, const std::string &From);
+  void onStartAnswer(const PeerReport &Report, TimePoint Now);
   PeerReport emptyReport(std::uint64_t LeaderToken);
   PeerHolding holding(const Endpoint &E) const;
   void repeatSuspects(TimePoint Now);
