docs, comments: what a newcomer stumbled on

Cause: a reader who had not seen the work named notes that contradict the code, letters of parts in place of names, and comments that cannot be followed. Measured: nothing.

--- a/src/libfairness/fairqueue.cpp
+++ b/src/libfairness/fairqueue.cpp
@@ -193,8 +193,8 @@
     if (Own != A->second.m_pools.end())
       Start += Own->second.m_tokens;
   }
-  // Entries of others start before this one if their tag is less, so half of an
-  // entry of each is added on average.
+  // The sums count fractions of entries, but an entry that starts before this
+  // one is dispatched completely. Half of a mean entry corrects for that.
   const double Limit = Start + MeanCost / 2;
   const double Ahead = P.m_starts.below(Limit) - P.m_ends.below(Limit);
   return Ahead >= Count * (1 - SumTolerance) ? Count : std::max(0.0, Ahead);
--- a/src/libgateway/exchangeaccount.cpp
+++ b/src/libgateway/exchangeaccount.cpp
@@ -11,7 +11,8 @@
 
 constexpr unsigned StatusUnauthorized = 401;
 constexpr unsigned StatusUnavailable = 503;
-/// A copy that is stale for longer than this is hardly stale at one VM alone.
+/// Beyond the revocation limit by more than this, the copies of other VMs are
+/// probably stale, too.
 constexpr Milliseconds LocalStalenessTime{1000};
 
 std::optional<std::string_view> keyOf(const HttpHead &Head) {
@@ -66,7 +67,8 @@
   Rejection R;
   R.m_timeLeft =
       m_requestMetadata.m_deadline.value_or(Milliseconds(m_route->m_timeout));
-  // At first another VM may have a current copy; later all lack the store.
+  // Soon after the limit another VM may have a current copy. Later the store is
+  // probably unavailable to all.
   const std::optional<Duration> Age = m_core.m_copyFreshness.age(bootNow());
   R.m_localCause =
       !Age || *Age < m_core.m_settings.m_revokeLimit + LocalStalenessTime;
--- a/src/libgateway/exchangestream.cpp
+++ b/src/libgateway/exchangestream.cpp
@@ -43,14 +43,16 @@
       Now);
 }
 
-/// Takes a complete answer that is no stream as such a sample.
+/// Takes a complete answer that is not a stream as a sample for the endpoint's
+/// adaptive limit.
 void Exchange::recordWholeAnswer(TimePoint Now) {
   if (!m_core.m_endpoints.pacingEnabled())
     return;
   const Duration Latency = Now - m_attempt.m_sentAt;
   m_core.m_endpoints.onAnswer(m_attempt.m_choice.m_endpoint,
                               wholeAnswer(m_query, Latency), Now);
-  // The latency of an engine's first event is not known from a whole answer.
+  // For plain services this field reports the time of the whole answer to the
+  // coordinator. For engines it only ever means the first event.
   if (m_query.m_model.empty() && m_query.m_size.m_promptTokens == 0)
     m_attempt.m_observation.m_firstEventMs = toMillis(Latency);
 }
--- a/src/libgateway/gateway.cpp
+++ b/src/libgateway/gateway.cpp
@@ -367,7 +367,8 @@
   Result<StoreVersion> Written = co_await m_store.write(Key, true);
   const bool Taken = !Written && Written.error().m_kind == ErrorKind::Conflict;
   onStoreResult(Written.has_value() || Taken, "claim");
-  // The write may have been executed in a new era whose claims still wait.
+  // The answer may have shown a new era, in which claims must still wait; this
+  // claim does not count then.
   if (!Written || Lease != m_leaderClaim.lease() ||
       BootClock::now() < m_storeEra.claimFrom())
     co_return Taken;
--- a/src/libgateway/gatewaystore.cpp
+++ b/src/libgateway/gatewaystore.cpp
@@ -350,8 +350,9 @@
     // reports that the history no longer has them.
     co_await sleep(Backoff);
     Backoff = std::min<Duration>(2 * Backoff, MaxStoreBackoff);
-    // Several versions of a large configuration may exceed the size of a
-    // response; the list has one of them.
+    // After ErrorKind::Full the store is listed again: several versions of a
+    // large configuration may exceed the size of a watch response, and a list
+    // has only one of them.
     co_return Changes.error().m_kind != ErrorKind::Full;
   }
   Backoff = MinStoreBackoff;
--- a/src/libgateway/quotaservice.cpp
+++ b/src/libgateway/quotaservice.cpp
@@ -44,7 +44,8 @@
   for (std::string Name; std::getline(In, Name);)
     Known.insert(Name);
   m_agents.addKnown(Known, Now);
-  // Later lists may have this VM only since it started.
+  // Only the first record counts: later ones may contain this VM because of its
+  // present start.
   if (!m_recordSeen && m_agent && Known.count(m_self) > 0)
     m_agent->onRejoined();
   m_recordSeen = true;
--- a/src/libgateway/scheduler.cpp
+++ b/src/libgateway/scheduler.cpp
@@ -173,7 +173,8 @@
            Observation.m_health == AttemptHealth::Good)
     Table.onAnswer(Id, wholeAnswer(Query, FromMs(Observation.m_firstByteMs)),
                    Now);
-  // A response, not a gateway that left the endpoint before it sent anything.
+  // A first byte shows that the endpoint itself refused. Without one, the
+  // gateway gave up before it sent the request.
   if (Observation.m_health == AttemptHealth::Refused &&
       Observation.m_firstByteMs > 0 && !Observation.m_endpointReplaced)
     Table.onRefused(Id, Now);
--- a/src/libgateway/startexchange.cpp
+++ b/src/libgateway/startexchange.cpp
@@ -8,7 +8,7 @@
 
 namespace {
 
-/// Most bytes of an encoded load beside its endpoint's name.
+/// Maximum size of an encoded load without its endpoint's name, in bytes.
 constexpr std::size_t EncodedLoadBytes = 25;
 
 std::vector<PeerEndpointLoad>
--- a/src/libgateway/waitqueue.cpp
+++ b/src/libgateway/waitqueue.cpp
@@ -43,7 +43,8 @@
     m_onTime.insert({E.m_ticket.m_onTimeUntil, E.m_ticket.m_id});
 }
 
-/// Contended is as in FairQueue::onDispatched(); empty: not dispatched.
+/// Removes an entry from its class. Contended is as in
+/// FairQueue::onDispatched(); empty if the entry was not dispatched.
 void WaitQueue::leaveClass(const Entry &E,
                            const std::optional<bool> &Contended) {
   const ChoiceQuery &Q = E.m_ticket.m_query;
@@ -248,8 +249,9 @@
   return fromSeconds(IntervalMs * Ahead / 1000.0);
 }
 
-/// Expected wait of a request that will be late: behind the late ones of its
-/// group of ranks that are ahead of it.
+/// Expected wait of a request that can no longer be on time: that of the late
+/// requests of its group (low ranks or the others) that are dispatched before
+/// it.
 Duration WaitQueue::waitAsLate(const ModelQueue &Model,
                                const ChoiceQuery &Query, const ClassKey &Last,
                                TimePoint Now) const {
--- a/src/libhttp/httpclient.cpp
+++ b/src/libhttp/httpclient.cpp
@@ -284,7 +284,8 @@
     return Reply;
   }
 
-  /// The call may have run; what came says nothing about it.
+  /// Turns a reply with an invalid status into a broken one: the call may have
+  /// run.
   static void refuseStatus(HttpReply &Reply) {
     Reply.m_failure = HttpFailure::Broken;
     Reply.m_detail =
--- a/src/libpace/pace.cpp
+++ b/src/libpace/pace.cpp
@@ -112,7 +112,8 @@
   m_goodInRow = Good ? m_goodInRow + 1 : 0;
   if (!Good)
     m_lastBadAt = Now;
-  // Requests sent before a change show what the limit before it led to.
+  // A request that was sent before the last change was served under the
+  // previous limit.
   if (Now - Sample.m_latency >= m_changedAt)
     ++m_samples;
   const bool AnswersAgain = inTrouble() && m_limit <= 1;
@@ -187,7 +188,8 @@
     return;
   }
   m_reachedSince = std::min(m_reachedSince, Now);
-  // Requests of this process that are all unanswered show nothing good.
+  // This process has requests there and no good answer since the last change,
+  // so time alone must not raise the limit.
   if (m_goodAtLimit == 0 && Load.m_local > 0)
     return;
   const Milliseconds Round =
--- a/src/libquota/quotaowner.cpp
+++ b/src/libquota/quotaowner.cpp
@@ -15,8 +15,8 @@
       .count();
 }
 
-/// Time until Tokens are there. A full bucket that is too small for a request
-/// has room when the share of its holder is larger.
+/// Time until the bucket has gained Tokens. With zero Tokens the bucket is full
+/// but smaller than the request, which must wait until the owner's share grows.
 Milliseconds waitFor(double Tokens, double RatePerSecond) {
   constexpr double LongestSeconds = 3600;
   constexpr double ShareChangeSeconds = 0.5;
@@ -35,10 +35,11 @@
   return std::max(1U, Count);
 }
 
-/// Computes the share that no agent without a promise may use.
+/// Computes the share of the limits that the owner may hand out: all but the
+/// base shares of agents without a promise in force.
 void QuotaOwner::updateShare(BootTime Now) {
   const unsigned Count = agentCount();
-  // Agents that only others know of.
+  // Agents that only other agents know of: their shares are reserved, too.
   double Reserved =
       static_cast<double>(Count - m_agents.size()) / static_cast<double>(Count);
   for (const auto &[Name, A] : m_agents)
