gateway: the pauses of streams bound the prompts of engines with small batches alone

Change: the bound, and the pace of each engine in the choice, hold for engines with at most 16 slots. For others the rule is the one before.

--- a/src/libgateway/chooser.cpp
+++ b/src/libgateway/chooser.cpp
@@ -30,6 +30,19 @@
   return Position(A) > Position(B);
 }
 
+/// Largest batch of an engine whose prompts are bounded by the pauses of its
+/// streams. Engines with large batches read prompts for much of their time; one
+/// prompt at a time would leave them idle between two.
+constexpr unsigned MaxPauseBoundSlots = 16;
+
+/// Longest pause of the streams on the service's engines that bounds their
+/// prompts; zero: only the backlog does.
+Milliseconds boundingPause(const Service &Target) {
+  const bool Bounded =
+      Target.m_engine && Target.m_engine->m_slots <= MaxPauseBoundSlots;
+  return Bounded ? Target.m_gapTarget : Milliseconds::zero();
+}
+
 /// Prefill at an engine if it is sent the request now.
 PrefillWork prefillWork(const ChoiceQuery &Query, const EndpointLoad &Load,
                         double MsPerToken) {
@@ -48,7 +61,7 @@
     MaxRequests *= MaxLowRankShare;
   if (Load.m_requests >= MaxRequests)
     return false;
-  if (!mayPrefill(Prefill, Target.m_gapTarget))
+  if (!mayPrefill(Prefill, boundingPause(Target)))
     return false;
   if (Load.m_requests == 0 || Target.m_engine->m_kvTokens == 0)
     return true;
@@ -167,7 +180,7 @@
     Slots = std::max(1U, Slots);
     const EndpointLoad Load = E.load();
     const PrefillPace &Pace = Table.prefillPace();
-    const double MsPerToken = Target.m_gapTarget > Milliseconds::zero()
+    const double MsPerToken = boundingPause(Target) > Milliseconds::zero()
                                   ? Pace.msPerToken(Query.m_service, Id)
                                   : Pace.msPerToken(Query.m_service);
     const PrefillWork Prefill = prefillWork(Query, Load, MsPerToken);
@@ -204,7 +217,7 @@
     if (C.m_avoided && !AllAvoided && !Probe)
       continue;
     double ScoreMs = scoreMs(Query, *C.m_endpoint, C.m_load, C.m_slots,
-                             C.m_prefill, Target.m_gapTarget);
+                             C.m_prefill, boundingPause(Target));
     if (C.m_avoided && !AllAvoided)
       ScoreMs -= 1000; // A due probe takes precedence.
     else
--- a/src/libgateway/chooser_test.cpp
+++ b/src/libgateway/chooser_test.cpp
@@ -216,3 +216,17 @@
   for (const auto &[Id, Count] : Chosen)
     EXPECT_LE(Count, Gateways / 2) << Id;
 }
+
+// Guards against engines with large batches that idle between two prompts, and
+// against prompts that pause the streams of engines with small ones.
+TEST(Chooser, PausesBoundThePromptsOfEnginesWithSmallBatches) {
+  Fleet F;
+  F.add("e1", "d1");
+  F.m_llm.m_gapTarget = Milliseconds(300);
+  F.m_table.onSent("e1", F.query().m_size);
+  EXPECT_EQ(F.choose(F.query()).m_endpoint, "e1");
+  F.m_llm.m_engine->m_slots = 12;
+  EXPECT_EQ(F.choose(F.query()).m_obstacle, ChoiceObstacle::Full);
+  F.m_llm.m_gapTarget = Milliseconds(0);
+  EXPECT_EQ(F.choose(F.query()).m_endpoint, "e1");
+}
