libgateway: the start query has a kind of its own

Cause: the merge gave the start query and the first quota message the same kind, 16, so a start query was read as a quota message and never answered. Change: the start query is kind 5; kinds from 16 on are quota messages, which a static_assert keeps apart.

--- a/src/libgateway/schedulingmessage.cpp
+++ b/src/libgateway/schedulingmessage.cpp
@@ -21,9 +21,13 @@
   Update,
   OpenTickets,
   StoreRelay,
-  StartQuery = 16
+  StartQuery
 };
 
+/// Kinds from this one on are those of quota messages, which share the socket.
+constexpr int FirstQuotaKind = 16;
+static_assert(static_cast<int>(MessageKind::StartQuery) < FirstQuotaKind);
+
 /// Major type of a CBOR array, in the upper three bits of the first byte.
 constexpr unsigned char CborArrayType = 4;
 constexpr unsigned CborMajorTypeShift = 5;
