gateway: log lines that tell why a configuration is applied late

Lines of 401 and 404 have the age of the copy (and 404 the request's id, which it lacked), configuration lines say how the change came, and a gap in the relays and a confirming call without an answer have lines of their own. The metadata of a request is read once, at its start, instead of in three places.

--- a/src/libgateway/core.cpp
+++ b/src/libgateway/core.cpp
@@ -451,4 +451,10 @@
     startRetries(Service, Window);
 }
 
+Duration Core::configurationAge() const {
+  if (!m_configuration || !m_configuration->m_accounts)
+    return clockNow() - m_copyConfirmedAt;
+  return m_copyFreshness.age(bootNow()).value_or(Duration::max());
+}
+
 } // namespace primroseworks::gateway
--- a/src/libgateway/core.h
+++ b/src/libgateway/core.h
@@ -150,6 +150,10 @@
   const std::map<std::string, RetryWindow> &retryWindows() const {
     return m_retries;
   }
+  /// Time since m_configuration was last known to be the newest one. By the
+  /// copy's freshness if there are accounts, which confirm it by calls of their
+  /// own, and by m_copyConfirmedAt otherwise.
+  Duration configurationAge() const;
   /// m_warmStart may have changed the use with which retry windows start.
   void onStartChanged();
 
--- a/src/libgateway/exchange.cpp
+++ b/src/libgateway/exchange.cpp
@@ -182,7 +182,6 @@
 /// request and its route, and counts the request in the retry window and the
 /// demand.
 void Exchange::initFromRequest(TimePoint Now) {
-  m_requestMetadata = m_core.m_dialect.requestMetadata(m_head);
   m_lastEventId = m_requestMetadata.m_lastEventId;
   Duration Timeout = m_route->m_timeout;
   if (m_requestMetadata.m_deadline)
@@ -211,7 +210,6 @@
 
 /// Rejects a request that arrived before the first configuration was read.
 asio::awaitable<bool> Exchange::rejectUnconfigured(TimePoint Now) {
-  m_requestMetadata = m_core.m_dialect.requestMetadata(m_head);
   Rejection R;
   R.m_timeLeft = m_requestMetadata.m_deadline.value_or(Milliseconds::zero());
   R.m_localCause = Now - m_core.m_startedAt < TypicalConfigurationDelay;
@@ -222,6 +220,7 @@
 
 asio::awaitable<bool> Exchange::serve() {
   const TimePoint Start = clockNow();
+  m_requestMetadata = m_core.m_dialect.requestMetadata(m_head);
   m_configuration = m_core.m_configuration;
   if (!m_configuration)
     co_return co_await rejectUnconfigured(Start);
--- a/src/libgateway/exchangeaccount.cpp
+++ b/src/libgateway/exchangeaccount.cpp
@@ -59,7 +59,6 @@
 
 /// Answers a request whose key does not allow it to run.
 asio::awaitable<bool> Exchange::rejectKey(KeyVerdict Verdict) {
-  m_requestMetadata = m_core.m_dialect.requestMetadata(m_head);
   std::string Reason(nameOf(KeyVerdictNames, Verdict));
   if (Verdict != KeyVerdict::Stale)
     co_return co_await sendLocalResponse(StatusUnauthorized, std::move(Reason),
--- a/src/libgateway/exchangeresponse.cpp
+++ b/src/libgateway/exchangeresponse.cpp
@@ -15,6 +15,9 @@
 
 namespace {
 
+constexpr unsigned StatusUnauthorized = 401;
+constexpr unsigned StatusNotFound = 404;
+
 /// Statuses that promise a caller that its request did not run and will not.
 constexpr std::array<unsigned, 4> NotRunStatuses = {408, 421, 429, 503};
 
@@ -178,9 +181,9 @@
                     (FirstByte > m_route->m_latencyTarget ||
                      (m_route->m_gapTarget > Milliseconds::zero() &&
                       m_longestEventGap > m_route->m_gapTarget));
-  decisionlog::line(Good && !Late ? LogClass::Success : LogClass::Failure,
-                    "request")
-      .text("id", m_requestMetadata.m_id)
+  LogLine Line = decisionlog::line(
+      Good && !Late ? LogClass::Success : LogClass::Failure, "request");
+  Line.text("id", m_requestMetadata.m_id)
       .text("route", m_route ? m_route->m_name : "")
       .text("outcome", Late ? "late" : m_outcome)
       .text("reason", Reason)
@@ -206,6 +209,9 @@
                                         : 0)
       .real("config_age_ms", toMillis(Now - m_core.m_configurationAt))
       .number("waiting", static_cast<std::int64_t>(m_core.m_queue.size()));
+  // What this VM did not find may be in a newer configuration.
+  if (m_status == StatusUnauthorized || m_status == StatusNotFound)
+    Line.real("config_confirmed_ms_ago", toMillis(m_core.configurationAge()));
 }
 
 } // namespace primroseworks::gateway
--- a/src/libgateway/gateway.h
+++ b/src/libgateway/gateway.h
@@ -16,6 +16,7 @@
 #include "libgateway/tasks.h"
 #include "libgateway/watchpause.h"
 #include "libstoreversion/storeera.h"
+#include "primroseworks/names.h"
 
 #include <asio/awaitable.hpp>
 #include <asio/signal_set.hpp>
@@ -68,6 +69,14 @@
 /// Requests that are still in progress are ended this long before that.
 inline constexpr Milliseconds RequestEndMargin{200};
 
+/// How a change of the store reached this gateway.
+enum class ChangeSource { List, Watch, Relay, Confirmation };
+inline constexpr NameTable<ChangeSource, 4> ChangeSourceNames = {
+    {{ChangeSource::List, "list"},
+     {ChangeSource::Watch, "watch"},
+     {ChangeSource::Relay, "relay"},
+     {ChangeSource::Confirmation, "confirmation"}}};
+
 class Gateway {
 public:
   Gateway(asio::io_context &Io, Settings Options, const Dialect &Platform,
@@ -104,7 +113,7 @@
   void startLoop(const char *Name, TaskFactory Create);
 
   Result<void> openStatusListener(const std::string &Address, bool Metrics);
-  void applyConfiguration(const StoreItem &Item);
+  void applyConfiguration(const StoreItem &Item, ChangeSource Source);
   /// Applies a complete list of the endpoints. The copy of the store is as of
   /// ReadAt then.
   void applyEndpoints(const StoreRange &List, TimePoint ReadAt);
@@ -113,7 +122,7 @@
   asio::awaitable<bool> awaitRelayEnd();
   asio::awaitable<bool> watchOnce(Duration &Backoff);
   void applyChanges(const std::vector<StoreChange> &Changes,
-                    const StoreVersion &Version);
+                    const StoreVersion &Version, ChangeSource Source);
   void onMessage(const SchedulingMessage &Message);
   QuotaLinks quotaLinks();
   void applyQuotaAgents();
--- a/src/libgateway/gatewayaccounts.cpp
+++ b/src/libgateway/gatewayaccounts.cpp
@@ -142,12 +142,18 @@
       co_await m_store.watch(Key, From, ConfirmingWait);
   onStoreResult(Changes.has_value(), "confirmation");
   m_core.m_metrics->count("accounts_confirmation_sent");
+  if (!Changes)
+    decisionlog::line(LogClass::KnownState, "confirmation_failed")
+        .number("revision", static_cast<std::int64_t>(From.m_revision))
+        .real("took_ms", toMillis(bootNow() - SentAt))
+        .text("error", Changes.error().m_message);
   if (!Changes || Changes.value().m_historyLost ||
       Changes.value().m_version.m_era != From.m_era)
     co_return false;
   for (const StoreChange &C : Changes.value().m_changes)
     if (C.m_key == Key && C.m_value)
-      applyConfiguration({C.m_key, *C.m_value, C.m_version});
+      applyConfiguration({C.m_key, *C.m_value, C.m_version},
+                         ChangeSource::Confirmation);
   // The store may return changes in parts.
   if (!Changes.value().m_changes.empty())
     co_return false;
--- a/src/libgateway/gatewaystore.cpp
+++ b/src/libgateway/gatewaystore.cpp
@@ -146,7 +146,7 @@
              : m_lapsedRecordsUntil;
 }
 
-void Gateway::applyConfiguration(const StoreItem &Item) {
+void Gateway::applyConfiguration(const StoreItem &Item, ChangeSource Source) {
   Result<Configuration> Next =
       m_core.m_dialect.decodeConfiguration(Item.m_value);
   m_configurationUnreadable = !Next;
@@ -169,6 +169,7 @@
   decisionlog::line(LogClass::Lifecycle, "configuration")
       .number("version", static_cast<std::int64_t>(Version))
       .number("revision", revisionOf(Item.m_version))
+      .text("source", nameOf(ChangeSourceNames, Source))
       .number("routes", static_cast<std::int64_t>(
                             m_core.m_configuration->m_routes.size()))
       .real("confirmed_ms_ago", confirmedMsAgo(clockNow()));
@@ -252,7 +253,7 @@
   const StoreVersion Version = List.value().m_version;
   for (const StoreItem &Item : List.value().m_items)
     if (Item.m_key == Key)
-      applyConfiguration(Item);
+      applyConfiguration(Item, ChangeSource::List);
   confirmCopy(SentAt);
   List = co_await m_store.range(m_core.m_dialect.endpointPrefix());
   onStoreResult(List.has_value(), "endpoints");
@@ -278,7 +279,7 @@
 }
 
 void Gateway::applyChanges(const std::vector<StoreChange> &Changes,
-                           const StoreVersion &Version) {
+                           const StoreVersion &Version, ChangeSource Source) {
   const TimePoint Now = clockNow();
   const std::string Endpoints = m_core.m_dialect.endpointPrefix();
   bool EndpointsChanged = false;
@@ -299,7 +300,7 @@
       else
         m_gatewayItems.erase(C.m_key);
     } else if (C.m_key == m_core.m_dialect.configurationKey() && C.m_value) {
-      applyConfiguration({C.m_key, *C.m_value, C.m_version});
+      applyConfiguration({C.m_key, *C.m_value, C.m_version}, Source);
     }
   }
   onCopyConfirmed(Now);
@@ -365,7 +366,7 @@
   // The store may return changes in parts, so only an answer without any shows
   // that the copy of the configuration is complete.
   const bool Complete = Changes.value().m_changes.empty();
-  applyChanges(*New, Changes.value().m_version);
+  applyChanges(*New, Changes.value().m_version, ChangeSource::Watch);
   // A configuration with accounts has their keys, which other VMs read from the
   // store alone.
   const bool HasKeys =
@@ -433,12 +434,17 @@
   }
   if (!Changes) {
     m_core.m_metrics->count("relay_gap");
+    decisionlog::line(LogClass::KnownState, "relay_gap")
+        .text("sender", Relay.m_sender)
+        .number("from", revisionOf(Relay.m_from))
+        .number("own", revisionOf(m_storeFollower.version()))
+        .real("confirmed_ms_ago", confirmedMsAgo(clockNow()));
     m_relayTimer.cancel();
     return;
   }
   if (m_storeFollower.isNewerThan(Relay))
     return;
-  applyChanges(*Changes, Relay.m_to);
+  applyChanges(*Changes, Relay.m_to, ChangeSource::Relay);
   if (Relay.m_age && !m_configurationUnreadable)
     m_core.m_copyFreshness.onRelayed(*Relay.m_age, bootNow());
 }
