gateway: no final refusal by a copy of the configuration that may miss a change

Now each of these refusals needs a copy that was confirmed within configuration-limit-ms less 0.5 s, and no known missing change; otherwise the answer is 503, not run, with Retry-After, so that another VM or a later attempt serves the request. Known keys are served as before. Confirming calls are due 0.5 s before that, which changes nothing at the present limits.

KeyCheck.StaleCopyRejectsNoKeyForGood demanded 401 for a request without a key by a stale copy; a newer version may have made the route public, so it demands 503 now.

--- a/src/libaccounts/copyfreshness.cpp
+++ b/src/libaccounts/copyfreshness.cpp
@@ -53,20 +53,37 @@
   m_confirmedAt = std::max(*m_confirmedAt, Now - Age - RelayTransitLimit);
 }
 
+/// At least half of the limit, so that a short one leaves time for a call.
+Duration CopyFreshness::maxChangeAge() const {
+  const Duration Limit = m_limits.m_changeLimit;
+  return std::max<Duration>(Limit / 2, Limit - FreshnessMargin);
+}
+
+bool CopyFreshness::isOlderThan(Duration Limit, BootDuration Now) const {
+  const std::optional<Duration> Age = age(Now);
+  return !Age || *Age > Limit;
+}
+
 bool CopyFreshness::isStale(BootDuration Now) {
   noticeStall(Now);
-  if (!limited())
-    return false;
-  const std::optional<Duration> Age = age(Now);
-  return !Age || *Age > maxAge();
+  return revokeLimited() && isOlderThan(maxAge(), Now);
+}
+
+bool CopyFreshness::mayMissChanges(BootDuration Now) {
+  if (m_changesMissing || isStale(Now))
+    return true;
+  return changeLimited() && isOlderThan(maxChangeAge(), Now);
 }
 
 bool CopyFreshness::needsConfirmation(BootDuration Now, Duration Lead) {
   noticeStall(Now);
-  if (!limited())
-    return false;
-  const std::optional<Duration> Age = age(Now);
-  return !Age || *Age > std::max<Duration>(maxAge() / 2, maxAge() - Lead);
+  const auto DueAt = [](Duration MaxAge, Duration Before) {
+    return std::max<Duration>(MaxAge / 2, MaxAge - Before);
+  };
+  if (revokeLimited() && isOlderThan(DueAt(maxAge(), Lead), Now))
+    return true;
+  return changeLimited() &&
+         isOlderThan(DueAt(maxChangeAge(), ChangeConfirmLeadTime), Now);
 }
 
 std::optional<Duration> CopyFreshness::age(BootDuration Now) const {
--- a/src/libaccounts/copyfreshness.h
+++ b/src/libaccounts/copyfreshness.h
@@ -1,10 +1,11 @@
-// Age limit of this VM's copy of the configuration, by which a removed API key
-// stops working also at a VM without contact to the store.
+// Age limits of this VM's copy of the configuration, by which a removed API key
+// stops working also at a VM without contact to the store, and by which no
+// caller is refused for good because of a copy that misses a change.
 //
-// Failure: a VM is frozen or cut off while a key is removed. It may go on with
-// its copy only while a store call that it sent recently enough, or a relay of
-// such a call, has confirmed the copy. Times are on a clock that runs on while
-// the VM is frozen. No I/O.
+// Failure: a VM is frozen or cut off while a key is removed or added. It may go
+// on with its copy only while a store call that it sent recently enough, or a
+// relay of such a call, has confirmed the copy. Times are on a clock that runs
+// on while the VM is frozen. No I/O.
 #ifndef PRIMROSEWORKS_LIBACCOUNTS_COPYFRESHNESS_H
 #define PRIMROSEWORKS_LIBACCOUNTS_COPYFRESHNESS_H
 
@@ -24,6 +25,8 @@
   Milliseconds m_limit{0};
   /// Requests with keys are refused while the copy is stale.
   bool m_strict = false;
+  /// Any change must be in effect within this time; 0: no limit.
+  Milliseconds m_changeLimit{0};
 };
 
 /// Time from the check of a key until the request is at the endpoint; the copy
@@ -41,6 +44,9 @@
 /// A confirming call is due this long before the copy is stale, but not before
 /// half of the time.
 inline constexpr Milliseconds ConfirmLeadTime{1500};
+/// The same before the copy may miss changes. Shorter, since a request that is
+/// refused then may be sent again.
+inline constexpr Milliseconds ChangeConfirmLeadTime{500};
 
 class CopyFreshness {
 public:
@@ -56,11 +62,17 @@
   /// A relay showed the same for a call that another VM sent Age ago, as stated
   /// when the relay was sent.
   void onRelayed(Duration Age, BootDuration Now);
+  /// Whether this VM knows of changes that are not in the copy yet.
+  void setChangesMissing(bool Missing) { m_changesMissing = Missing; }
 
-  /// Whether a key that is not in the copy may be a new one, and a key in it
-  /// may have been removed too long ago. Notices a stall that onTick() has not
-  /// seen yet.
+  /// Whether a key in the copy may have been removed too long ago. Notices a
+  /// stall that onTick() has not seen yet.
   bool isStale(BootDuration Now);
+  /// Whether what is not in the copy, such as a key or a route, may be in a
+  /// version that must be in effect already. Such a request must not be refused
+  /// for good.
+  bool mayMissChanges(BootDuration Now);
+  bool changesMissing() const { return m_changesMissing; }
   /// Whether requests with keys are refused.
   bool refusesKeys(BootDuration Now) {
     return m_limits.m_strict && isStale(Now);
@@ -71,12 +83,18 @@
   /// Time since the call that confirmed the copy last was sent; nothing if none
   /// did since the start or the last stall.
   std::optional<Duration> age(BootDuration Now) const;
-  bool limited() const { return m_limits.m_limit > Milliseconds::zero(); }
+  bool limited() const { return revokeLimited() || changeLimited(); }
 
 private:
   explicit CopyFreshness(FreshnessLimits Limits) : m_limits(Limits) {}
   void noticeStall(BootDuration Now);
+  bool revokeLimited() const { return m_limits.m_limit > Milliseconds::zero(); }
+  bool changeLimited() const {
+    return m_limits.m_changeLimit > Milliseconds::zero();
+  }
   Duration maxAge() const { return m_limits.m_limit - FreshnessMargin; }
+  Duration maxChangeAge() const;
+  bool isOlderThan(Duration Limit, BootDuration Now) const;
 
   FreshnessLimits m_limits;
   /// When the event loop was last seen running; empty before the first time.
@@ -89,6 +107,7 @@
   Duration m_unreportedStall{};
   /// Sending time of the newest confirming call; never before m_validFrom.
   std::optional<BootDuration> m_confirmedAt;
+  bool m_changesMissing = false;
 };
 
 } // namespace primroseworks
--- a/src/libaccounts/copyfreshness_test.cpp
+++ b/src/libaccounts/copyfreshness_test.cpp
@@ -105,6 +105,33 @@
   EXPECT_EQ(m_copy.age(at(3000)), Duration(Milliseconds(2100)));
 }
 
+// Guards against a copy that is taken for complete longer than a change may
+// take, and against confirming calls that come too late for that.
+TEST(FreshnessLimits, ChangesHaveALimitOfTheirOwn) {
+  CopyFreshness C =
+      CopyFreshness::create({Milliseconds(5000), true, Milliseconds(4000)})
+          .value();
+  C.onConfirmed(at(0), at(0));
+  for (long Ms = 0; Ms <= 3500; Ms += 50)
+    C.onTick(at(Ms));
+  EXPECT_FALSE(C.needsConfirmation(at(3000)));
+  EXPECT_TRUE(C.needsConfirmation(at(3001)));
+  EXPECT_FALSE(C.mayMissChanges(at(3500)));
+  EXPECT_TRUE(C.mayMissChanges(at(3501)));
+  EXPECT_FALSE(C.isStale(at(3501)));
+  // Without a limit of removed keys, and with a short one.
+  CopyFreshness Short =
+      CopyFreshness::create({Milliseconds(0), false, Milliseconds(600)})
+          .value();
+  EXPECT_TRUE(Short.mayMissChanges(at(0)));
+  Short.onConfirmed(at(0), at(0));
+  EXPECT_FALSE(Short.needsConfirmation(at(150)));
+  EXPECT_TRUE(Short.needsConfirmation(at(151)));
+  EXPECT_FALSE(Short.mayMissChanges(at(300)));
+  EXPECT_TRUE(Short.mayMissChanges(at(301)));
+  EXPECT_FALSE(Short.isStale(at(301)));
+}
+
 // Guards against refusals in a deployment that did not ask for them.
 TEST(FreshnessLimits, ApplyOnlyIfSet) {
   CopyFreshness None = CopyFreshness::create({}).value();
--- a/src/libaccounts/keycheck.cpp
+++ b/src/libaccounts/keycheck.cpp
@@ -6,8 +6,15 @@
 KeyCheck checkKey(const AccountTable &Accounts,
                   std::optional<std::string_view> Key, bool PublicRoute,
                   CopyFreshness &Fresh, BootDuration Now) {
+  // 401 is final, but the key may have been added meanwhile, or the route may
+  // need none any more.
+  const auto Refusal = [&](KeyVerdict Verdict) {
+    return KeyCheck{Fresh.mayMissChanges(Now) ? KeyVerdict::Stale : Verdict,
+                    nullptr};
+  };
   if (!Key)
-    return {PublicRoute ? KeyVerdict::NotUsed : KeyVerdict::Missing, nullptr};
+    return PublicRoute ? KeyCheck{KeyVerdict::NotUsed, nullptr}
+                       : Refusal(KeyVerdict::Missing);
   // Before the lookup: a key in the copy may have been removed meanwhile.
   if (Fresh.refusesKeys(Now))
     return {KeyVerdict::Stale, nullptr};
@@ -15,9 +22,7 @@
     return {KeyVerdict::Known, Account};
   if (PublicRoute)
     return {KeyVerdict::NotUsed, nullptr};
-  // 401 is final, but the key may have been added meanwhile.
-  return {Fresh.isStale(Now) ? KeyVerdict::Stale : KeyVerdict::Unknown,
-          nullptr};
+  return Refusal(KeyVerdict::Unknown);
 }
 
 } // namespace primroseworks
--- a/src/libaccounts/keycheck_test.cpp
+++ b/src/libaccounts/keycheck_test.cpp
@@ -55,9 +55,28 @@
   EXPECT_EQ(verdict("k2", false, Strict), KeyVerdict::Stale);
   EXPECT_EQ(verdict("k1", true, Strict), KeyVerdict::Stale);
   EXPECT_EQ(verdict(std::nullopt, true, Strict), KeyVerdict::NotUsed);
-  EXPECT_EQ(verdict(std::nullopt, false, Strict), KeyVerdict::Missing);
+  EXPECT_EQ(verdict(std::nullopt, false, Strict), KeyVerdict::Stale);
   CopyFreshness Lenient = freshness(false, true);
   EXPECT_EQ(verdict("k1", false, Lenient), KeyVerdict::Known);
   EXPECT_EQ(verdict("k2", false, Lenient), KeyVerdict::Stale);
   EXPECT_EQ(verdict("k2", true, Lenient), KeyVerdict::NotUsed);
 }
+
+// Guards against a final 401 for a key or a public route of a version that must
+// be in effect by now, while removed keys may still be served.
+TEST(KeyCheck, CopyThatMayMissAChangeRejectsNoKeyForGood) {
+  CopyFreshness F =
+      CopyFreshness::create({Seconds(5), true, Milliseconds(4000)}).value();
+  F.onConfirmed(Now - Milliseconds(3500), Now);
+  EXPECT_EQ(verdict("k2", false, F), KeyVerdict::Unknown);
+  EXPECT_EQ(verdict(std::nullopt, false, F), KeyVerdict::Missing);
+  CopyFreshness Older =
+      CopyFreshness::create({Seconds(5), true, Milliseconds(4000)}).value();
+  Older.onConfirmed(Now - Milliseconds(3501), Now);
+  EXPECT_EQ(verdict("k1", false, Older), KeyVerdict::Known);
+  EXPECT_EQ(verdict("k2", false, Older), KeyVerdict::Stale);
+  EXPECT_EQ(verdict(std::nullopt, false, Older), KeyVerdict::Stale);
+  F.setChangesMissing(true);
+  EXPECT_EQ(verdict("k1", false, F), KeyVerdict::Known);
+  EXPECT_EQ(verdict("k2", false, F), KeyVerdict::Stale);
+}
--- a/src/libgateway/core.cpp
+++ b/src/libgateway/core.cpp
@@ -32,9 +32,8 @@
           WarmStart::create({m_settings.m_askPeers, m_settings.m_bootstrap})
               .value()),
       // parseSettings() has checked the limits.
-      m_copyFreshness(CopyFreshness::create(
-                          {m_settings.m_revokeLimit, m_settings.m_revokeStrict})
-                          .value()),
+      m_copyFreshness(
+          CopyFreshness::create(m_settings.freshnessLimits()).value()),
       m_chooser(m_settings.m_failureDomain, m_settings.m_regions),
       m_memory(budgetBytes(m_settings)), m_pool(Io),
       m_suspects(std::move(Suspects)), m_endpointProbe(Io, m_pool),
@@ -451,10 +450,21 @@
     startRetries(Service, Window);
 }
 
-Duration Core::configurationAge() const {
-  if (!m_configuration || !m_configuration->m_accounts)
-    return clockNow() - m_copyConfirmedAt;
-  return m_copyFreshness.age(bootNow()).value_or(Duration::max());
+std::optional<Duration> Core::configurationAge() const {
+  if (m_configuration && m_configuration->m_accounts)
+    return m_copyFreshness.age(bootNow());
+  if (!m_endpointsKnown)
+    return std::nullopt;
+  return clockNow() - m_copyConfirmedAt;
+}
+
+bool Core::configurationMayMissChanges() {
+  if (m_configuration && m_configuration->m_accounts)
+    return m_copyFreshness.mayMissChanges(bootNow());
+  if (m_copyFreshness.changesMissing())
+    return true;
+  const std::optional<Duration> Age = configurationAge();
+  return !Age || *Age > m_settings.m_configurationLimit - FreshnessMargin;
 }
 
 } // namespace primroseworks::gateway
--- a/src/libgateway/core.h
+++ b/src/libgateway/core.h
@@ -150,10 +150,15 @@
   const std::map<std::string, RetryWindow> &retryWindows() const {
     return m_retries;
   }
-  /// Time since m_configuration was last known to be the newest one. By the
-  /// copy's freshness if there are accounts, which confirm it by calls of their
-  /// own, and by m_copyConfirmedAt otherwise.
-  Duration configurationAge() const;
+  /// Time since m_configuration was last known to be the newest one; nothing if
+  /// it was not since the start or the last stall. With accounts, whose copy is
+  /// confirmed by calls of its own, by m_copyFreshness; otherwise by
+  /// m_copyConfirmedAt.
+  std::optional<Duration> configurationAge() const;
+  /// Whether a version that must be in effect by now may be missing here, so
+  /// that what is not in m_configuration is no reason to refuse a request for
+  /// good.
+  bool configurationMayMissChanges();
   /// m_warmStart may have changed the use with which retry windows start.
   void onStartChanged();
 
--- a/src/libgateway/exchange.cpp
+++ b/src/libgateway/exchange.cpp
@@ -218,6 +218,14 @@
   co_return co_await sendLocalResponse(503, "no_configuration", RetryAfter);
 }
 
+/// Rejects a request without a route: for good, unless a newer configuration
+/// may have one.
+asio::awaitable<bool> Exchange::rejectUnrouted() {
+  if (m_core.configurationMayMissChanges())
+    co_return co_await rejectStale("configuration_stale");
+  co_return co_await sendLocalResponse(404, "no_route", Duration::zero());
+}
+
 asio::awaitable<bool> Exchange::serve() {
   const TimePoint Start = clockNow();
   m_requestMetadata = m_core.m_dialect.requestMetadata(m_head);
@@ -229,7 +237,7 @@
     co_return co_await sendLocalResponse(400, "no_host", Duration::zero());
   m_route = m_configuration->find(*Host, m_head.path());
   if (!m_route)
-    co_return co_await sendLocalResponse(404, "no_route", Duration::zero());
+    co_return co_await rejectUnrouted();
   const KeyVerdict Verdict = identifyAccount();
   if (Verdict != KeyVerdict::Known && Verdict != KeyVerdict::NotUsed)
     co_return co_await rejectKey(Verdict);
--- a/src/libgateway/exchange.h
+++ b/src/libgateway/exchange.h
@@ -54,6 +54,8 @@
   unsigned rank() const;
   bool forwardsHeader(const HttpHeader &Header) const;
   asio::awaitable<bool> rejectKey(KeyVerdict Verdict);
+  asio::awaitable<bool> rejectUnrouted();
+  asio::awaitable<bool> rejectStale(std::string Reason);
   asio::awaitable<void> chargeUntilDecided(quota::Amount Cost);
   asio::awaitable<bool> chargeQuota();
   void settleQuota();
--- a/src/libgateway/exchangeaccount.cpp
+++ b/src/libgateway/exchangeaccount.cpp
@@ -5,6 +5,8 @@
 #include "libgateway/exchange.h"
 #include "libgateway/retryafter.h"
 
+#include <algorithm>
+
 namespace primroseworks::gateway {
 
 namespace {
@@ -60,17 +62,23 @@
 /// Answers a request whose key does not allow it to run.
 asio::awaitable<bool> Exchange::rejectKey(KeyVerdict Verdict) {
   std::string Reason(nameOf(KeyVerdictNames, Verdict));
-  if (Verdict != KeyVerdict::Stale)
-    co_return co_await sendLocalResponse(StatusUnauthorized, std::move(Reason),
-                                         Duration::zero());
+  if (Verdict == KeyVerdict::Stale)
+    co_return co_await rejectStale(std::move(Reason));
+  co_return co_await sendLocalResponse(StatusUnauthorized, std::move(Reason),
+                                       Duration::zero());
+}
+
+/// Rejects a request for which this VM's copy of the configuration is too old.
+asio::awaitable<bool> Exchange::rejectStale(std::string Reason) {
   Rejection R;
-  R.m_timeLeft =
-      m_requestMetadata.m_deadline.value_or(Milliseconds(m_route->m_timeout));
+  R.m_timeLeft = m_requestMetadata.m_deadline.value_or(
+      m_route ? m_route->m_timeout : Milliseconds::zero());
   // Soon after the limit another VM may have a current copy. Later the store is
   // probably unavailable to all.
-  const std::optional<Duration> Age = m_core.m_copyFreshness.age(bootNow());
-  R.m_localCause =
-      !Age || *Age < m_core.m_settings.m_revokeLimit + LocalStalenessTime;
+  const Settings &S = m_core.m_settings;
+  const Milliseconds Limit = std::max(S.m_revokeLimit, S.m_configurationLimit);
+  const std::optional<Duration> Age = m_core.configurationAge();
+  R.m_localCause = !Age || *Age < Limit + LocalStalenessTime;
   R.m_random = std::uniform_real_distribution<double>(0, 1)(m_core.m_random);
   const Duration RetryAfter = retryAfter(R);
   co_return co_await sendLocalResponse(StatusUnavailable, std::move(Reason),
--- a/src/libgateway/exchangeresponse.cpp
+++ b/src/libgateway/exchangeresponse.cpp
@@ -210,8 +210,9 @@
       .real("config_age_ms", toMillis(Now - m_core.m_configurationAt))
       .number("waiting", static_cast<std::int64_t>(m_core.m_queue.size()));
   // What this VM did not find may be in a newer configuration.
+  const std::optional<Duration> Age = m_core.configurationAge();
   if (m_status == StatusUnauthorized || m_status == StatusNotFound)
-    Line.real("config_confirmed_ms_ago", toMillis(m_core.configurationAge()));
+    Line.real("config_confirmed_ms_ago", Age ? toMillis(*Age) : -1);
 }
 
 } // namespace primroseworks::gateway
--- a/src/libgateway/settings.cpp
+++ b/src/libgateway/settings.cpp
@@ -258,7 +258,7 @@
     BOOST_OUTCOME_TRYV(readOne(Root, Spec, Out));
   }
   const Result<CopyFreshness> Fresh =
-      CopyFreshness::create({Out.m_revokeLimit, Out.m_revokeStrict});
+      CopyFreshness::create(Out.freshnessLimits());
   if (!Fresh)
     return makeError(ErrorKind::InvalidArgument,
                      "setting 'accounts.revoke-limit-ms': " +
--- a/src/libgateway/settings.h
+++ b/src/libgateway/settings.h
@@ -2,6 +2,7 @@
 #ifndef PRIMROSEWORKS_LIBGATEWAY_SETTINGS_H
 #define PRIMROSEWORKS_LIBGATEWAY_SETTINGS_H
 
+#include "libaccounts/copyfreshness.h"
 #include "libgateway/retrywindow.h"
 #include "libquota/quotatypes.h"
 #include "primroseworks/error.h"
@@ -42,6 +43,10 @@
   double m_cpuShare = 1;       ///< Cores that this VM may use.
   /// Memory that this process may use; 0: what it can read of its VM.
   std::size_t m_memoryBytes = 0;
+
+  FreshnessLimits freshnessLimits() const {
+    return {m_revokeLimit, m_revokeStrict, m_configurationLimit};
+  }
 };
 
 /// One row of the table of settings, for --check and the documentation.
