gateway: changes that a relay showed are fetched at once

Cause: a VM behind a coordinator that misses a change sent a watch for it which waits like one for a future change, for 2.7 s, and is given up 0.9 s later. Two lost answers took 4.9 s at a limit of 4 s; a watch that was already under way, and lost, was waited for to its end; and an answer with a later revision and without the known change was believed. Now a watch for known changes waits 1 ms, so that it is sent again after 0.9 s; a watch that was sent before the gap was seen ends 0.9 s after it; an answer without the known changes makes the VM read the lists; and until the gap is closed nothing is refused for good. The gap ends by its version, so that a relay in the wrong order can close it, too.

--- a/src/libgateway/gateway.cpp
+++ b/src/libgateway/gateway.cpp
@@ -443,6 +443,7 @@
     co_await sleep(MaintenanceInterval);
     const TimePoint Now = clockNow();
     checkAccountsAge(bootNow());
+    endUnansweredWatch(Now);
     m_core.dispatchWaiting(Now);
     if (++Count % 2 == 0)
       decisionlog::flush();
--- a/src/libgateway/gateway.h
+++ b/src/libgateway/gateway.h
@@ -21,6 +21,7 @@
 #include <asio/awaitable.hpp>
 #include <asio/signal_set.hpp>
 #include <memory>
+#include <optional>
 #include <string>
 
 namespace primroseworks::gateway {
@@ -121,6 +122,8 @@
   void applyGateways(const StoreVersion &Version);
   asio::awaitable<bool> awaitRelayEnd();
   asio::awaitable<bool> watchOnce(Duration &Backoff);
+  Milliseconds nextWatchWait(TimePoint Now) const;
+  void endUnansweredWatch(TimePoint Now);
   void applyChanges(const std::vector<StoreChange> &Changes,
                     const StoreVersion &Version, ChangeSource Source);
   void onMessage(const SchedulingMessage &Message);
@@ -187,7 +190,10 @@
   QuotaClient m_quotas;
   TimePoint m_quotaAgentsWrittenAt{}; ///< Last attempt.
   StoreFollower m_storeFollower;
-  asio::steady_timer m_relayTimer; ///< Cancelled when relays have a gap.
+  asio::steady_timer m_relayTimer;        ///< Cancelled when relays have a gap.
+  std::optional<TimePoint> m_watchSentAt; ///< Of the watch under way.
+  /// When a relay showed the changes that are missing now.
+  TimePoint m_gapNoticedAt{};
   StoreEra<BootTime> m_storeEra;
   /// Of members, whose gateways have not written them in this era yet.
   FormerKeys m_formerMembers;
--- a/src/libgateway/gatewayaccounts.cpp
+++ b/src/libgateway/gatewayaccounts.cpp
@@ -32,9 +32,6 @@
   ConfigurationPtr m_configuration; ///< Has accounts.
 };
 
-/// Wait of a confirming watch: it returns at once, with changes or without.
-constexpr Milliseconds ConfirmingWait{1};
-
 } // namespace
 
 /// Reports the accounts of a configuration that was applied now.
@@ -139,7 +136,7 @@
   const std::string Key = m_core.m_dialect.configurationKey();
   const StoreVersion From = m_storeFollower.version();
   Result<StoreChanges> Changes =
-      co_await m_store.watch(Key, From, ConfirmingWait);
+      co_await m_store.watch(Key, From, PresentChangesWait);
   onStoreResult(Changes.has_value(), "confirmation");
   m_core.m_metrics->count("accounts_confirmation_sent");
   if (!Changes)
--- a/src/libgateway/gatewaystore.cpp
+++ b/src/libgateway/gatewaystore.cpp
@@ -304,6 +304,7 @@
     }
   }
   onCopyConfirmed(Now);
+  m_core.m_copyFreshness.setChangesMissing(m_storeFollower.missesChanges());
   if (GatewaysChanged)
     applyGateways(Version);
   if (!EndpointsChanged)
@@ -326,17 +327,39 @@
   co_return true;
 }
 
+/// How long a watch that is sent now waits for changes.
+Milliseconds Gateway::nextWatchWait(TimePoint Now) const {
+  if (m_storeFollower.missesChanges())
+    return PresentChangesWait;
+  const Milliseconds Wait =
+      watchWait(Now - m_core.m_copyConfirmedAt, changeLimit());
+  return m_peers.audience().isCoordinator()
+             ? std::min(Wait, CoordinatorWatchTimeout)
+             : Wait;
+}
+
+/// Ends a watch that was sent before a relay showed missing changes and that
+/// should have returned them by now: its answer was probably lost.
+void Gateway::endUnansweredWatch(TimePoint Now) {
+  if (!m_watchSentAt || !m_storeFollower.missesChanges() ||
+      *m_watchSentAt >= m_gapNoticedAt ||
+      Now - m_gapNoticedAt < WatchResponseMargin)
+    return;
+  m_core.m_metrics->count("watch_ended_for_gap");
+  m_store.endWatch();
+}
+
 /// Makes one watch call and applies and relays what it returned. Returns false
 /// if the store's state must be read again.
 asio::awaitable<bool> Gateway::watchOnce(Duration &Backoff) {
   const StoreVersion From = m_storeFollower.version();
   const TimePoint SentAt = clockNow();
   const BootDuration BootSentAt = bootNow();
-  Milliseconds Wait =
-      watchWait(SentAt - m_core.m_copyConfirmedAt, changeLimit());
-  if (m_peers.audience().isCoordinator())
-    Wait = std::min(Wait, CoordinatorWatchTimeout);
+  const bool Missing = m_storeFollower.missesChanges();
+  const Milliseconds Wait = nextWatchWait(SentAt);
+  m_watchSentAt = SentAt;
   Result<StoreChanges> Changes = co_await m_store.watch("", From, Wait);
+  m_watchSentAt.reset();
   onStoreResult(Changes.has_value() || !copyIsOfEra(), "watch");
   if (!copyIsOfEra())
     co_return false;
@@ -359,6 +382,14 @@
   Backoff = MinStoreBackoff;
   if (Changes.value().m_historyLost)
     co_return false;
+  // Relays showed changes, so a later version without any has skipped them.
+  if (Missing && Changes.value().m_changes.empty()) {
+    m_core.m_metrics->count("watch_incomplete");
+    decisionlog::line(LogClass::KnownState, "watch_incomplete")
+        .number("revision", revisionOf(From))
+        .number("answer", revisionOf(Changes.value().m_version));
+    co_return false;
+  }
   const std::optional<std::vector<StoreChange>> New =
       m_storeFollower.onWatched(Changes.value());
   if (!New)
@@ -396,6 +427,7 @@
     }
     Backoff = MinStoreBackoff;
     m_storeFollower.onRead(Version.value());
+    m_core.m_copyFreshness.setChangesMissing(m_storeFollower.missesChanges());
     const TimePoint RelistAt =
         clockNow() + relistInterval(m_configurationBytes);
     while (clockNow() < RelistAt && copyIsOfEra()) {
@@ -421,6 +453,7 @@
     return;
   }
   const RelayFit Fit = m_storeFollower.fit(Relay);
+  const bool Missed = m_storeFollower.missesChanges();
   const std::optional<std::vector<StoreChange>> Changes =
       m_storeFollower.onRelay(Relay, clockNow());
   if (Fit == RelayFit::OlderEra || Fit == RelayFit::NewerEra) {
@@ -434,6 +467,10 @@
   }
   if (!Changes) {
     m_core.m_metrics->count("relay_gap");
+    if (!Missed && m_storeFollower.missesChanges()) {
+      m_gapNoticedAt = clockNow();
+      m_core.m_copyFreshness.setChangesMissing(true);
+    }
     decisionlog::line(LogClass::KnownState, "relay_gap")
         .text("sender", Relay.m_sender)
         .number("from", revisionOf(Relay.m_from))
--- a/src/libgateway/storerelay.cpp
+++ b/src/libgateway/storerelay.cpp
@@ -54,8 +54,15 @@
 
 void StoreFollower::onRead(const StoreVersion &Version) {
   m_reading = false;
-  m_missedChanges = false;
   m_version = Version;
+  onAnswered(Version);
+}
+
+/// The store answered this gateway. What a relay of another era showed counts
+/// until then alone, since only the store can tell the era.
+void StoreFollower::onAnswered(const StoreVersion &Version) {
+  if (m_missed.m_era != Version.m_era)
+    m_missed = {};
 }
 
 std::vector<StoreChange>
@@ -73,7 +80,7 @@
 StoreFollower::onWatched(const StoreChanges &Changes) {
   if (Changes.m_version.m_era != m_version.m_era)
     return std::nullopt;
-  m_missedChanges = false;
+  onAnswered(Changes.m_version);
   return takeNew(Changes.m_changes, Changes.m_version);
 }
 
@@ -96,7 +103,7 @@
     return std::vector<StoreChange>();
   case RelayFit::Gap:
   case RelayFit::NewerEra:
-    m_missedChanges = true;
+    m_missed = std::max(m_missed, Relay.m_from);
     return std::nullopt;
   case RelayFit::Follows:
     break;
--- a/src/libgateway/storerelay.h
+++ b/src/libgateway/storerelay.h
@@ -75,18 +75,21 @@
   const StoreVersion &version() const { return m_version; }
   /// Whether relays keep the copy up to date.
   bool followsRelay(TimePoint Now) const {
-    return !m_reading && !m_missedChanges && Now < m_relayValidUntil;
+    return !m_reading && !missesChanges() && Now < m_relayValidUntil;
   }
+  /// Whether a relay showed changes after version() that are not here yet.
+  bool missesChanges() const { return m_version < m_missed; }
   TimePoint relayValidUntil() const { return m_relayValidUntil; }
 
 private:
   std::vector<StoreChange> takeNew(const std::vector<StoreChange> &Changes,
                                    const StoreVersion &To);
+  void onAnswered(const StoreVersion &Version);
 
   StoreVersion m_version;
   bool m_reading = true;
-  /// A relay showed that changes after m_version are missing here.
-  bool m_missedChanges = false;
+  /// A relay showed that there are changes up to this version.
+  StoreVersion m_missed;
   TimePoint m_relayValidUntil{};
 };
 
--- a/src/libgateway/watchpause.h
+++ b/src/libgateway/watchpause.h
@@ -29,6 +29,8 @@
 /// Limits of the time for which a watch waits for a change.
 inline constexpr Milliseconds MinWatchWait{100};
 inline constexpr Milliseconds MaxWatchWait{4000};
+/// Wait of a watch that asks what has changed already: it returns at once.
+inline constexpr Milliseconds PresentChangesWait{1};
 /// Time for the call that follows a failed one: a watch that finds a change
 /// returns at once.
 inline constexpr Milliseconds FollowingCallTime{300};
