--- a/src/libgateway/gatewaystore.cpp
+++ b/src/libgateway/gatewaystore.cpp
@@ -388,6 +388,7 @@
     decisionlog::line(LogClass::KnownState, "watch_incomplete")
         .number("revision", revisionOf(From))
         .number("answer", revisionOf(Changes.value().m_version));
+    co_await sleep(MinWatchPause);
     co_return false;
   }
   const std::optional<std::vector<StoreChange>> New =
