--- a/src/libgateway/settings.h
+++ b/src/libgateway/settings.h
@@ -43,7 +43,7 @@
   double m_cpuShare = 1;       ///< Cores that this VM may use.
   /// Memory that this process may use; 0: what it can read of its VM.
   std::size_t m_memoryBytes = 0;
-
+  /// Limits of the age of this VM's copy of the configuration.
   FreshnessLimits freshnessLimits() const {
     return {m_revokeLimit, m_revokeStrict, m_configurationLimit};
   }
