--- a/review/lib2/lab.cpp
+++ b/review/lib2/lab.cpp
@@ -131,6 +131,7 @@
   const auto At = [&](int Port) {
     return "\"" + Setup.m_ip + ":" + std::to_string(Port) + "\"\n";
   };
+  const int Limit = Setup.m_keys ? 4000 : 2500;
   std::ofstream Out(File);
   Out << "vm:\n  name: \"" << Setup.m_name << "\"\n"
       << "  failure-domain: \"highland-a\"\n"
@@ -142,11 +143,15 @@
       << "  metrics: " << At(Setup.m_metrics)
       << "peers:\n  port: " << Setup.m_peers << "\n"
       << "store:\n  address: \"" << Setup.m_store << "\"\n"
-      << "  lease-ms: 2000\n  drain-limit-ms: 2500\n"
-      << "  configuration-limit-ms: 2500\n"
+      << "  lease-ms: 2000\n  drain-limit-ms: " << Limit
+      << "\n  configuration-limit-ms: " << Limit << "\n"
       << "stop:\n  limit-s: 8\n"
-      << "retries:\n  share: 0.2\n  window-s: 10\n  extra: 58\n"
-      << "accounts:\nstart:\n  bootstrap: true\n";
+      << "retries:\n  share: 0.2\n  window-s: 10\n  extra: "
+      << (Setup.m_keys ? 218 : 58) << "\naccounts:\n";
+  if (Setup.m_keys)
+    Out << "  revoke-limit-ms: 5000\n  revoke-strict: true\n"
+        << "quotas:\n  window-s: 8\n  over: 0.1\n  extra-tokens: 11000\n";
+  Out << "start:\n  bootstrap: true\n";
   Out.close();
   P.start({"target/primrose-gateway", "--settings", File},
           Folder + "/" + Setup.m_name + ".log");
--- a/review/lib2/lab.h
+++ b/review/lib2/lab.h
@@ -63,6 +63,8 @@
   int m_ready = 0;
   int m_metrics = 0;
   int m_peers = 0;
+  /// Settings of jhelum-topup-grown, which has keys, not of braidwell-ops.
+  bool m_keys = false;
 };
 
 /// A port of the address that nothing uses now.
@@ -71,7 +73,7 @@
 GatewaySetup gatewaySetup(const std::string &Name, const std::string &Ip,
                           const std::string &Store);
 /// Writes the settings file as deploy/gateway.yaml.in makes it of the settings
-/// of the braidwell-ops deployment, and starts the command of the deploy file.
+/// of the deployment, and starts the command of the deploy file.
 void startGateway(Process &P, const GatewaySetup &Setup,
                   const std::string &Folder);
 /// Waits until GET /ready is answered with 200.
